--- /dev/null
+++ b/courseroute/adapter/__main__.py
@@ -0,0 +1,7 @@
+"""Reads the simulator's wire on standard input and answers on standard output."""
+import sys
+
+from courseroute.adapter.wire import serve
+
+if __name__ == "__main__":
+    sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/courseroute/decide.py
@@ -0,0 +1,485 @@
+"""Every decision of courseroute: Schedule, Don't Throttle, and the guards around it.
+
+Called by an adapter: one Dispatcher(seed, terms) a relay, one method for each thing told, each returning plain
+tuples; `settle` closes a batch. The interface stands in courseroute/model/interface.py, the reasons in docs/design.md.
+A message passes admit -> turn -> book -> release -> pick -> send; what returns comes back through `outcome`.
+"""
+import heapq
+import random
+
+from courseroute.model.histogram import Histogram, Meter
+from courseroute.model.types import Call, Destination, Host, Lane, Leg, Message, Route, Turn
+
+MS = 1_000_000
+S = 1000 * MS
+HEADROOM, GROWTH, CUT, FORGET = 0.8, 0.1, 0.5, 60 * S       # the budget, as the design page has it
+LEAST = 1.0                                                 # sends a second that cuts leave
+EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
+MEMORY = 64                                                 # values before a histogram is halved
+USUAL = 100 * MS                                            # a call's time while none is known
+NEVER_RAN = ("full", "unreachable", "unsent")
+# The sequential test: what an outcome adds to the evidence against a host, and the bound that sets it aside.
+EVIDENCE = {"delivered": -0.7, "error": 2.3, "timeout": 2.3, "reset": 2.3, "unreachable": 2.3, "full": 0.0}
+BOUND = 4.5
+ASIDE = 1 * S                                               # set aside for so long, and up to half more
+RENEW = 1 * S                                               # ranks are renewed so often
+LEVEL = 2                                                   # calls a host takes before the next in rank gets one
+PATIENCE, LEAST_PATIENCE = 6, 1500 * MS                     # time-out: so many slow calls' times, no less than
+CLIMB = 0.7                                                 # of the rule's multiple, all relays together
+
+
+class Dispatcher:
+    def __init__(self, seed, terms):
+        self.terms = terms
+        self.draw = random.Random(seed).uniform
+        self.acts, self.agenda, self.ticket, self.armed = [], [], 0, None
+        self.lanes, self.dsts, self.hosts = {}, {}, {}
+        self.open, self.legs, self.turns, self.lined = {}, {}, {}, {}
+        self.routes = []
+        self.busy, self.watched = 0, None
+        self.slots = terms.get("slots") or 1
+        self.relays = max(1, terms.get("relays") or 1)
+        self.margin = 2 * (terms.get("tick") or 5 * MS)
+        for name, told in terms.get("lanes", {}).items():
+            self.lanes[name] = Lane(name, **told, calls=Histogram(EDGES, MEMORY))
+
+    # What is told.
+
+    def start(self, now):
+        if self.terms.get("ask"):
+            self.watch(now)
+        self.at(now + RENEW, self.rank)
+        return self.said()
+
+    def roster(self, now, scope, entries):
+        if scope == "failed":
+            self.watched = None
+            self.at(now + int(self.draw(0.5, 1.0) * S), self.watch)
+            return self.said()
+        if scope != "saved":
+            self.watched = now
+        if scope != "changes":
+            for host in self.hosts.values():
+                host.listed = False
+        for name, state, area, rate, kind, where in entries:
+            host = self.hosts.get(name) or self.join(name, kind, where)
+            host.listed, host.area, host.rate = state == "ready", area, rate
+        for dst in self.dsts.values():
+            for rt in dst.routes:
+                if rt.held and not any(host.listed for host in rt.hosts):
+                    self.rebook(now, rt)
+            stranded, dst.stranded = dst.stranded, []
+            for msg in stranded:
+                self.book(now, msg)
+        return self.said()
+
+    def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False):
+        lane = self.lanes.get(lane) or self.lanes.setdefault(lane, Lane(lane, calls=Histogram(EDGES, MEMORY)))
+        msg = self.open[name] = Message(name, self.destination(where), lane, deadline, key, customer, again)
+        self.at(deadline - self.margin, self.end, msg)
+        self.at(self.late(msg), self.drop_late, msg)
+        if self.admit(now, msg) and self.turn(now, msg):
+            self.book(now, msg)
+        return self.said()
+
+    def withdraw(self, now, name):
+        msg = self.open.get(name)
+        if msg and not msg.over:
+            self.finish(now, msg)
+        return self.said()
+
+    def wake(self, now):
+        self.armed = None
+        return self.said()
+
+    def outcome(self, now, name, n, where, ending, took, wait, report, over):
+        leg = self.legs.pop((name, n), None)
+        if leg is None:
+            return self.said()
+        msg, host, call = leg.msg, leg.host, leg.call
+        rt = host.route
+        del host.legs[(name, n)]
+        msg.out -= 1
+        call.left -= 1
+        if not call.left:
+            self.busy, host.calls, rt.calls = self.busy - 1, host.calls - 1, rt.calls - 1
+        if ending in ("timeout", "reset", "cancelled"):
+            msg.rest = True
+            if msg.key and msg.lane.ordered:
+                turn = self.turns[msg.key]
+                turn.rest = max(turn.rest, now + self.terms.get("turn_gap", 0))
+        if ending not in NEVER_RAN and msg.ran_from is None:
+            msg.ran_from, msg.ran_area = leg.at, host.area
+        if report:
+            rt.reported = report["limit"]
+        if ending == "full":
+            self.refusal(now, rt, wait)
+        elif ending == "delivered":
+            host.times.add(took)
+            msg.lane.calls.add(took)
+            rt.served.add(now)
+        self.judge(now, host, ending, leg)
+        if over:
+            self.finish(now, msg)
+        elif not msg.over and not msg.out:
+            self.again(now, msg)
+        if msg.over and not msg.out:
+            self.pass_turn(now, msg)
+        return self.said()
+
+    def settle(self, now):
+        while self.agenda and self.agenda[0][0] <= now:
+            _, _, what, told = heapq.heappop(self.agenda)
+            what(now, *told)
+        self.release(now)
+        if self.agenda and (self.armed is None or self.agenda[0][0] < self.armed):
+            self.armed = self.agenda[0][0]
+            self.acts.append(("wake", self.armed - now))
+        return self.said()
+
+    # Small helpers.
+
+    def said(self):
+        acts, self.acts = self.acts, []
+        return acts
+
+    def at(self, when, what, *told):
+        self.ticket += 1
+        heapq.heappush(self.agenda, (when, self.ticket, what, told))
+
+    def nothing(self, now):
+        """A wake-up for the release that follows."""
+
+    def log(self, text):
+        self.acts.append(("log", text))
+
+    def watch(self, now):
+        """Asks for the list until it is told, well inside the time after which silence counts as knowledge."""
+        if self.watched is None:
+            self.acts.append(("watch",))
+            self.at(now + self.terms.get("ask_within", 10 * S) // 3, self.watch)
+
+    def usual(self, lane):
+        return lane.calls.quantile(0.5) or USUAL
+
+    def late(self, msg):
+        return msg.deadline - self.usual(msg.lane) - self.margin
+
+    def destination(self, where):
+        if where not in self.dsts:
+            self.dsts[where] = Destination(len(self.dsts))
+        return self.dsts[where]
+
+    def join(self, name, kind, where):
+        dst = self.destination(where)
+        told = self.terms.get("kinds", {}).get(kind, {})
+        if told.get("apart") or not dst.routes:
+            rt = Route(len(self.routes), dst, told.get("per_call", 1), served=Meter(S))
+            self.routes.append(rt)
+            dst.routes.append(rt)
+        rt = dst.routes[-1]
+        host = self.hosts[name] = Host(name, len(self.hosts), dst, rt, kind, times=Histogram(EDGES, MEMORY))
+        rt.hosts.append(host)
+        dst.hosts.append(host)
+        return host
+
+    def rank(self, now):
+        """The timer that renews the order in which a destination's hosts, and its routes, are filled."""
+        def standing(host):
+            slow = host.times.quantile(0.5) or 0
+            return (host.evidence >= BOUND / 2, slow, host.index)
+        for dst in self.dsts.values():
+            for rt in dst.routes:
+                rt.hosts.sort(key=standing)
+            dst.routes.sort(key=lambda rt: standing(rt.hosts[0]))
+        self.at(now + RENEW, self.rank)
+
+    # Admit: lanes, shares, holding room.
+
+    def admit(self, now, msg):
+        if now >= self.late(msg):
+            self.end(now, msg)
+        return not msg.over
+
+    # Turn: the messages of a key one at a time, in the order taken.
+
+    def turn(self, now, msg):
+        if not (msg.key and msg.lane.ordered):
+            return True
+        turn = self.turns.setdefault(msg.key, Turn())
+        turn.line.append(msg)
+        if turn.line[0] is msg and now < turn.rest:
+            self.at(turn.rest, self.give_turn, turn)
+        return turn.line[0] is msg and now >= turn.rest
+
+    def pass_turn(self, now, msg):
+        """A message is over and has no leg out: the next of its key may go once the key has rested."""
+        self.open.pop(msg.name, None)
+        if msg.key and msg.lane.ordered:
+            turn = self.turns[msg.key]
+            first = turn.line[0] is msg
+            if msg in turn.line:
+                turn.line.remove(msg)
+            if first and turn.line:
+                self.at(max(now, turn.rest), self.give_turn, turn)
+            elif not turn.line and now >= turn.rest:
+                del self.turns[msg.key]
+
+    def give_turn(self, now, turn):
+        if turn.line and now < turn.rest:
+            self.at(turn.rest, self.give_turn, turn)
+        elif turn.line and not turn.line[0].over and not turn.line[0].route and not turn.line[0].sent:
+            self.book(now, turn.line[0])
+
+    # Book: the cursor.
+
+    def limit(self, rt):
+        """The listed or reported limit, this relay's part of it; else what was served when the refusal came."""
+        listed = rt.hosts[0].rate
+        told = listed if listed is not None else rt.reported
+        return told / self.relays if told else rt.learned
+
+    def budget(self, now, rt):
+        """Sends a second; None while only told waits bind."""
+        if rt.refused is None or rt.reported == 0:
+            return None
+        if now - rt.refused > FORGET:
+            rt.refused = None
+            return None
+        clean = (now - rt.grown) // S
+        if clean:
+            rt.grown += clean * S
+            rt.headroom = min(self.relays, rt.headroom + GROWTH * clean)
+            rt.learned *= (1 + GROWTH) ** clean
+        return max(0.05, rt.headroom * self.limit(rt))
+
+    def refusal(self, now, rt, wait):
+        if rt.refused is None or rt.reported == 0:
+            rt.headroom, rt.learned, rt.cut = HEADROOM, max(LEAST, rt.served.most(now)), now
+            self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
+        elif now - rt.cut >= S:
+            before = self.budget(now, rt)
+            rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / max(0.01, self.limit(rt))))
+            rt.cut = now
+            self.log(f"route {rt.index}: budget cut from {before:.2f}/s to {rt.headroom * self.limit(rt):.2f}/s")
+        rt.refused = rt.grown = now
+        if wait:
+            rt.wait = max(rt.wait, now + wait)
+        self.rebook(now, rt)
+
+    def slot(self, now, rt):
+        """The second with room and what it holds; a cursor behind now moves to now, a full second steps one on."""
+        if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
+            return rt.second, rt.used, rt.riders + 1
+        second, used = rt.second, rt.used
+        if second + S <= now:
+            second, used = now, 0
+        if second < rt.wait:
+            second, used = rt.wait, 0
+        budget = self.budget(now, rt)
+        if budget is None:
+            return max(now, rt.wait), 0, 0
+        while used >= budget:
+            second, used = second + S, used - budget
+        return second, used + 1, 1
+
+    def book(self, now, msg):
+        usable = [rt for rt in msg.dst.routes if any(self.allowed(host, msg) for host in rt.hosts)]
+        if not usable:
+            msg.dst.stranded.append(msg)
+            return
+        best = None
+        for place, rt in enumerate(usable):
+            second, used, riders = self.slot(now, rt)
+            back = min(host.aside for host in rt.hosts)
+            key = (max(now, second, back), (rt.calls + len(rt.held)) // LEVEL, place)
+            if best is None or key < best[0]:
+                best = key, rt, second, used, riders
+        _, rt, second, used, riders = best
+        due = max(now, second)
+        if due >= self.late(msg) or not self.may_send(due, msg):
+            self.end(now, msg)
+            return
+        rt.second, rt.used, rt.riders = second, used, riders
+        self.ticket += 1
+        msg.seq = msg.seq or self.ticket
+        msg.due, msg.route = due, rt
+        rt.held[msg.name] = msg
+        if due <= now:
+            self.fall_due(now, msg, rt, due)
+        else:
+            self.at(due, self.fall_due, msg, rt, due)
+
+    def rebook(self, now, rt):
+        """Books all that a route holds anew, in their order, after what it sent in the running second."""
+        held, rt.held, rt.line = sorted(rt.held.values(), key=lambda msg: msg.seq), {}, []
+        rt.second, rt.used, rt.riders = rt.spent_from, rt.spent, 0
+        for msg in held:
+            msg.route = None
+        for msg in held:
+            self.book(now, msg)
+
+    def fall_due(self, now, msg, rt, due):
+        if msg.route is rt and msg.due == due and not msg.over:
+            heapq.heappush(rt.line, (msg.seq, msg.name, msg))
+            self.lined[rt.index] = rt
+
+    # Release: a slot for those whose second has come, in booking order.
+
+    def release(self, now):
+        heads = []
+        for rt in list(self.lined.values()):
+            self.push_head(heads, rt)
+        while heads:
+            _, _, rt = heapq.heappop(heads)
+            msg = rt.line[0][2]
+            host = self.pick(now, rt, msg)
+            if host:
+                heapq.heappop(rt.line)
+                self.send(now, msg, rt, host)
+                self.push_head(heads, rt)
+
+    def push_head(self, heads, rt):
+        while rt.line and (rt.line[0][2].route is not rt or rt.line[0][2].over):
+            heapq.heappop(rt.line)
+        if rt.line:
+            heapq.heappush(heads, (rt.line[0][0], rt.index, rt))
+        else:
+            self.lined.pop(rt.index, None)
+
+    # Pick: hosts in ranked order, each filled up to a level before the next.
+
+    def allowed(self, host, msg):
+        group = msg.lane.group if msg.lane.effect == "keyed" and (msg.ran_from is not None or msg.out) else None
+        return host.listed and not (group == "zone" and host.area != msg.ran_area)
+
+    def pick(self, now, rt, msg):
+        best = None
+        free = self.slots - self.busy
+        for place, host in enumerate(rt.hosts):
+            call = host.open_call
+            rides = call and call.at == now and call.size < rt.per_call and call.left
+            if not self.allowed(host, msg) or now < rt.wait:
+                continue
+            if not rides and (rt.calls >= free or not self.ready(now, host)):
+                continue
+            key = (not rides, host is msg.last_host, host.calls // LEVEL, place)
+            if best is None or key < best[0]:
+                best = key, host
+        return best and best[1]
+
+    def ready(self, now, host):
+        """Whether a host may get a further call: not set aside, not quiet, and within its climb."""
+        if now < host.aside or (host.trial and host.calls):
+            return False
+        if host.climb is not None and now < host.climb_next:
+            self.at(host.climb_next, self.nothing)
+            return False
+        first = next(iter(host.legs.values()), None)
+        return first is None or host.heard > first.at or now - first.at < self.patience(host) // 2
+
+    def patience(self, host):
+        slow = host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
+        return max(LEAST_PATIENCE, PATIENCE * slow)
+
+    def send(self, now, msg, rt, host):
+        until = min(now + self.patience(host), msg.deadline - self.margin)
+        call = host.open_call
+        if not (call and call.at == now and call.size < rt.per_call and call.left):
+            call = host.open_call = Call(host, now)
+            self.busy, host.calls, rt.calls = self.busy + 1, host.calls + 1, rt.calls + 1
+            if now >= rt.spent_from + S:
+                rt.spent_from, rt.spent = now, 0
+            rt.spent += 1
+            if host.climb is not None:
+                self.step_climb(now, host)
+        call.size += 1
+        call.left += 1
+        del rt.held[msg.name]
+        msg.route, msg.last_host = None, host
+        leg = Leg(msg, msg.sent, host, now, until, call)
+        self.legs[(msg.name, msg.sent)] = host.legs[(msg.name, msg.sent)] = leg
+        msg.sent += 1
+        msg.out += 1
+        self.acts.append(("send", msg.name, host.name, until))
+
+    # What returns.
+
+    def judge(self, now, host, ending, leg):
+        host.evidence = max(0.0, host.evidence + EVIDENCE.get(ending, 0.0))
+        if ending == "delivered":
+            host.heard = now
+            if host.trial:
+                host.trial, host.evidence, host.climb, host.climb_next = False, 0.0, now, now
+                self.step_climb(now, host)
+                self.log(f"host {host.index}: returned, climbing")
+        elif host.evidence >= BOUND and now >= host.aside and leg.at >= host.aside:
+            host.aside = now + ASIDE + int(self.draw(0, ASIDE / 2))
+            host.trial, host.climb = True, None
+            self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
+            self.at(host.aside, self.nothing)
+            if len(host.dst.routes) > 1:
+                self.rebook(now, host.route)
+
+    def step_climb(self, now, host):
+        """Spaces the sends to a host that was out, so that all relays stay under the rule's multiple together."""
+        cold = self.terms.get("cold", 10 * S)
+        if now >= host.climb + cold:
+            host.climb = None
+            return
+        start = self.terms.get("cold_from", 0.2)
+        share = start + (1 - start) * (now - host.climb) / cold
+        told = host.rate or host.route.reported
+        rate = (told / self.relays if told else max(LEAST, host.route.learned)) / len(host.route.hosts)
+        rate *= share * max(1.0, self.terms.get("overload", 1.0) * CLIMB)
+        host.climb_next = max(now, host.climb_next) + int(S / rate)
+
+    def may_send(self, when, msg):
+        """Whether a further leg is allowed at that time."""
+        if msg.sent >= self.terms.get("legs", 1 << 30):
+            return False
+        if msg.lane.effect == "retriable" or (msg.ran_from is None and not msg.out):
+            return True
+        first = msg.ran_from if msg.ran_from is not None else 0
+        return msg.lane.effect == "keyed" and when < first + msg.lane.window - self.margin
+
+    def again(self, now, msg):
+        """A leg came back without success: a fresh booking, where the lane still allows one."""
+        msg.seq = 0
+        self.book(now, msg)
+
+    def drop_late(self, now, msg):
+        """Guards against sending what can no longer be delivered in time."""
+        if msg.over or msg.out:
+            return
+        if now < self.late(msg):
+            self.at(self.late(msg), self.drop_late, msg)
+        else:
+            self.end(now, msg)
+
+    def end(self, now, msg):
+        """The one final answer: pushed back where trying again is harmless, failed else."""
+        if msg.over:
+            return
+        lane = msg.lane
+        ran = msg.ran_from is not None or msg.out
+        harmless = not ran or lane.effect == "retriable" or (
+            lane.effect == "keyed" and lane.group == "all" and self.may_send(now, msg))
+        if harmless:
+            stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=0)
+            self.acts.append(("push back", msg.name, max(0, min(stay, self.terms.get("stay_away", 0)))))
+        else:
+            self.acts.append(("fail", msg.name))
+        if msg.out and self.terms.get("cancel"):
+            for n in range(msg.sent):
+                if (msg.name, n) in self.legs:
+                    self.acts.append(("cancel", msg.name, n))
+        self.finish(now, msg)
+
+    def finish(self, now, msg):
+        msg.over = True
+        if msg.route:
+            msg.route.held.pop(msg.name, None)
+            msg.route = None
+        if not msg.out:
+            self.pass_turn(now, msg)
--- /dev/null
+++ b/courseroute/model/interface.py
@@ -0,0 +1,30 @@
+"""The interface between the decisions and whatever protocol stands before them.
+
+One Dispatcher(seed, terms) lives for each relay. Times are whole nanoseconds of one clock that the caller
+hands in as `now`; it stands still for one batch. Names of messages, hosts and lanes are opaque strings.
+
+Told by the caller, each returning a list of actions:
+
+    start(now)                                  the relay is up
+    roster(now, scope, entries)                 news of the list; scope is full, saved, changes or failed;
+                                                an entry is (host, state, area, rate, kind, destination),
+                                                state ready, draining or gone, rate None if not listed
+    take(now, name, dst, lane, deadline, key, customer, again)
+    withdraw(now, name)                         nobody wants the message any more
+    outcome(now, name, n, host, ending, took, wait, report, over)
+    wake(now)                                   an asked-for wake-up
+    settle(now)                                 the batch is read: held messages are released
+
+Endings: delivered, error, full, timeout, unreachable, reset, cancelled, unsent. A report is a map with
+`left` (share of the allowance) and `limit` (calls a second), or None.
+
+Actions: ("send", name, host, until)  ("cancel", name, n)  ("push back", name, stay_away)  ("fail", name)
+("wake", delay)  ("watch",)  ("log", text)
+
+Terms handed over at start, a plain map; any of them may be missing:
+
+    relays, area, slots, room, legs, cancel, copies, stay_away (longest advice that clients heed), tick,
+    drain_grace, ask (the list answers only when asked), ask_within, cold, cold_from, overload, fall,
+    turn_gap, kinds (kind -> {apart, per_call}), customers (name -> quota a second), over_share (value kept),
+    lanes (name -> {target, deadline, effect, group, window, value, late_value, ordered})
+"""
