--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -333,6 +333,10 @@
         while heads:
             _, _, rt = heapq.heappop(heads)
             msg = rt.line[0][2]
+            if not self.may_send(now, msg):     # a window may close while a message waits for its slot
+                self.end(now, msg)
+                self.push_head(heads, rt)
+                continue
             host = self.pick(now, rt, msg)
             if host:
                 heapq.heappop(rt.line)
