The cursor carries what small budgets overbooked, over told waits too

Cause: at budgets near one a second each told wait reset the count, two sends left per wait and the refused calls kept the limit used up.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -258,11 +258,10 @@
             rt.headroom, rt.learned, rt.cut = HEADROOM, max(LEAST, rt.served.most(now)), now
             self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
         elif now - rt.cut >= S:
-            before = self.budget(now, rt)
             rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / max(0.01, self.limit(rt))))
             rt.cut = now
-            self.log(f"route {rt.index}: budget cut from {before:.2f}/s to {rt.headroom * self.limit(rt):.2f}/s")
         rt.refused = rt.grown = now
+        rt.spent = min(rt.spent, max(1.0, self.budget(now, rt) or 1.0))
         if wait:
             rt.wait = max(rt.wait, now + wait)
         self.rebook(now, rt)
@@ -271,15 +270,14 @@
         """The second with room and what it holds; a cursor behind now moves to now, a full second steps one on."""
         if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
             return rt.second, rt.used, rt.riders + 1
-        second, used = rt.second, rt.used
-        if second + S <= now:
-            second, used = now, 0
-        if second < rt.wait:
-            second, used = rt.wait, 0
         budget = self.budget(now, rt)
         if budget is None:
             return max(now, rt.wait), 0, 0
-        while used >= budget:
+        second, used = rt.second, rt.used
+        start = max(rt.wait, now if second + S <= now else second)
+        if start > second:                      # what was booked above a small budget is not forgotten
+            second, used = start, max(0.0, used - budget * (start - second) / S)
+        while used > 0 and used + 1 > budget:   # a fraction of a send is carried, and a first one has room
             second, used = second + S, used - budget
         return second, used + 1, 1
 
@@ -393,7 +391,8 @@
             call = host.open_call = Call(host, now)
             self.busy, host.calls, rt.calls = self.busy + 1, host.calls + 1, rt.calls + 1
             if now >= rt.spent_from + S:
-                rt.spent_from, rt.spent = now, 0
+                paid = (self.budget(now, rt) or rt.spent) * (now - rt.spent_from) / S
+                rt.spent_from, rt.spent = now, max(0.0, rt.spent - paid)
             rt.spent += 1
             if host.climb is not None:
                 self.step_climb(now, host)
