--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -249,7 +249,7 @@
         clean = (now - rt.grown) // S
         if clean:
             rt.grown += clean * S
-            rt.headroom = min(self.relays, rt.headroom + GROWTH * clean)
+            rt.headroom = min(1.0, rt.headroom + GROWTH * clean)
             rt.learned *= (1 + GROWTH) ** clean
         return max(0.05, rt.headroom * self.limit(rt))
 
