A booking takes its place inside its second, evenly spaced

Cause: relays released all of a second's bookings at its start; where an allowance holds three or four calls, the relays together overran it, and refused calls use up the limit. Could harm where a limit counts whole spans: a send may leave up to one second later than its second's start.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -295,6 +295,8 @@
                 best = key, rt, second, used, riders
         _, rt, second, used, riders = best
         due = max(now, second)
+        if riders:      # its place inside the second: relays that release together overrun a small allowance
+            due = max(due, second + int(S * max(0.0, used - 1) / self.budget(now, rt)))
         if due >= self.late(msg) or not self.may_send(due, msg):
             self.end(now, msg)
             return
