Places in whole seconds, spaced and set apart by relay number

Cause: relays pacing at the same budget from random moments collide where the allowance holds two or three calls. Could harm where clocks of relays are far apart: then phases are random, as before.

--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -54,7 +54,8 @@
         return int(text) * US
 
     for name, path, convert in (
-        ("relays", "balancers", int), ("area", "zone", str), ("slots", "family-info.call-slots", int),
+        ("relays", "balancers", int), ("number", "me", int), ("area", "zone", str),
+        ("slots", "family-info.call-slots", int),
         ("room", "permissions.open-cap", int), ("legs", "permissions.send-cap", int),
         ("cancel", "permissions.cancel", truth), ("copies", "permissions.parallel-tries", truth),
         ("stay_away", "permissions.max-retry-after", span), ("tick", "tick", span),
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -25,6 +25,7 @@
 RENEW = 1 * S                                               # ranks are renewed so often
 LEVEL = 2                                                   # calls a host takes before the next in rank gets one
 PATIENCE, LEAST_PATIENCE = 6, 1500 * MS                     # time-out: so many slow calls' times, no less than
+SMOOTH = 0.1                                                # weight of a new reported limit
 CLIMB = 0.7                                                 # of the rule's multiple, all relays together
 
 
@@ -39,6 +40,7 @@
         self.busy, self.watched = 0, None
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
+        self.phase = (terms.get("number") or 0) % self.relays / self.relays
         self.margin = 2 * (terms.get("tick") or 5 * MS)
         for name, told in terms.get("lanes", {}).items():
             self.lanes[name] = Lane(name, **told, calls=Histogram(EDGES, MEMORY))
@@ -111,7 +113,8 @@
         if ending not in NEVER_RAN and msg.ran_from is None:
             msg.ran_from, msg.ran_area = leg.at, host.area
         if report:
-            rt.reported = report["limit"]
+            told = report["limit"]      # noisy: smoothed, but nought and a first figure count at once
+            rt.reported = told if not (told and rt.reported) else rt.reported + (told - rt.reported) * SMOOTH
         if ending == "full":
             self.refusal(now, rt, wait)
         elif ending == "delivered":
@@ -274,13 +277,21 @@
         if budget is None:
             return max(now, rt.wait), 0, 0
         second, used = rt.second, rt.used
-        start = max(rt.wait, now if second + S <= now else second)
-        if start > second:                      # what was booked above a small budget is not forgotten
+        begin = max(now, rt.wait)
+        start = begin // S * S
+        if second < start:      # what was booked above a small budget is not forgotten
             second, used = start, max(0.0, used - budget * (start - second) / S)
+        if second == start:     # places that went by unused are not made up for in a burst
+            used = max(used, budget * (begin - start) / S - 1)
         while used > 0 and used + 1 > budget:   # a fraction of a send is carried, and a first one has room
             second, used = second + S, used - budget
         return second, used + 1, 1
 
+    def place(self, now, rt, second, used):
+        """A booking's place inside its second: evenly spaced, and apart from the other relays' places."""
+        budget = max(1.0, self.budget(now, rt))
+        return max(now, rt.wait, second + int(S * (max(0.0, used - 1) + self.phase) / budget))
+
     def book(self, now, msg):
         usable = [rt for rt in msg.dst.routes if any(self.allowed(host, msg) for host in rt.hosts)]
         if not usable:
@@ -294,9 +305,7 @@
             if best is None or key < best[0]:
                 best = key, rt, second, used, riders
         _, rt, second, used, riders = best
-        due = max(now, second)
-        if riders:      # its place inside the second: relays that release together overrun a small allowance
-            due = max(due, second + int(S * max(0.0, used - 1) / self.budget(now, rt)))
+        due = self.place(now, rt, second, used) if riders else max(now, second)
         if due >= self.late(msg) or not self.may_send(due, msg):
             self.end(now, msg)
             return
@@ -392,9 +401,10 @@
         if not (call and call.at == now and call.size < rt.per_call and call.left):
             call = host.open_call = Call(host, now)
             self.busy, host.calls, rt.calls = self.busy + 1, host.calls + 1, rt.calls + 1
-            if now >= rt.spent_from + S:
-                paid = (self.budget(now, rt) or rt.spent) * (now - rt.spent_from) / S
-                rt.spent_from, rt.spent = now, max(0.0, rt.spent - paid)
+            second = now // S * S
+            if second > rt.spent_from:
+                paid = (self.budget(now, rt) or rt.spent) * (second - rt.spent_from) / S
+                rt.spent_from, rt.spent = second, max(0.0, rt.spent - paid)
             rt.spent += 1
             if host.climb is not None:
                 self.step_climb(now, host)
