--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -205,8 +205,8 @@
         elif tag == "CLOSED_ATTEMPT":
             ending = ENDINGS.get(need(found, "ending"), "reset")
             wait = int(found.get("detail") or 0) * 1000 * US if ending == "full" else 0
-            self.tell(who, "outcome", need(found, "handle"), need(found, "n", int), need(found, "host"), ending,
-                      int(found.get("delay-seen") or 0) * US, wait, report_of(found.get("usage")),
+            self.tell(who, "outcome", need(found, "handle"), need(found, "n", int), need(found, "host"),
+                      ending, int(found.get("delay-seen") or 0) * US, wait, report_of(found.get("usage")),
                       truth(found.get("over", "0")))
         else:
             scope = SCOPES.get(need(found, "scope"), "failed")
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -1,8 +1,9 @@
 """Every decision of courseroute: Schedule, Don't Throttle, and the guards around it.
 
-Called by an adapter: one Dispatcher(seed, terms) a relay, one method for each thing told, each returning plain
-tuples; `settle` closes a batch. The interface stands in courseroute/model/interface.py, the reasons in docs/design.md.
-A message passes admit -> turn -> book -> release -> pick -> send; what returns comes back through `outcome`.
+Called by an adapter: one Dispatcher(seed, terms) a relay, one method for each thing told, each returning
+plain tuples; `settle` closes a batch. The interface stands in courseroute/model/interface.py, the reasons in
+docs/design.md. A message passes admit -> turn -> book -> release -> pick -> send; what returns comes
+back through `outcome`.
 """
 import heapq
 import random
@@ -23,8 +24,8 @@
 BOUND = 4.5
 ASIDE = 1 * S                                               # set aside for so long, and up to half more
 RENEW = 1 * S                                               # ranks are renewed so often
-LEVEL = 2                                                   # calls a host takes before the next in rank gets one
-PATIENCE, LEAST_PATIENCE = 6, 1500 * MS                     # time-out: so many slow calls' times, no less than
+LEVEL = 2                                                   # calls before the next in rank gets one
+PATIENCE, LEAST_PATIENCE = 6, 1500 * MS                     # time-out: so many slow calls, no less than
 SMOOTH = 0.1                                                # weight of a new reported limit
 CLIMB = 0.7                                                 # of the rule's multiple, all relays together
 
@@ -72,7 +73,8 @@
                     self.rebook(now, rt)
             stranded, dst.stranded = dst.stranded, []
             for msg in stranded:
-                self.book(now, msg)
+                if not msg.over:
+                    self.book(now, msg)
         return self.said()
 
     def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False):
@@ -111,7 +113,7 @@
                 turn = self.turns[msg.key]
                 turn.rest = max(turn.rest, now + self.terms.get("turn_gap", 0))
         if ending not in NEVER_RAN and msg.ran_from is None:
-            msg.ran_from, msg.ran_area = leg.at, host.area
+            msg.ran_from = leg.at
         if report:
             told = report["limit"]      # noisy: smoothed, but nought and a first figure count at once
             rt.reported = told if not (told and rt.reported) else rt.reported + (told - rt.reported) * SMOOTH
@@ -157,7 +159,7 @@
         self.acts.append(("log", text))
 
     def watch(self, now):
-        """Asks for the list until it is told, well inside the time after which silence counts as knowledge."""
+        """Asks for the list until it is told, well inside the time after which silence counts as told."""
         if self.watched is None:
             self.acts.append(("watch",))
             self.at(now + self.terms.get("ask_within", 10 * S) // 3, self.watch)
@@ -212,32 +214,29 @@
         turn = self.turns.setdefault(msg.key, Turn())
         turn.line.append(msg)
         if turn.line[0] is msg and now < turn.rest:
-            self.at(turn.rest, self.give_turn, turn)
+            self.at(turn.rest, self.give_turn, msg.key)
         return turn.line[0] is msg and now >= turn.rest
 
     def pass_turn(self, now, msg):
         """A message is over and has no leg out: the next of its key may go once the key has rested."""
-        self.open.pop(msg.name, None)
-        if msg.key and msg.lane.ordered:
+        if self.open.pop(msg.name, None) and msg.key and msg.lane.ordered:
             turn = self.turns[msg.key]
-            first = turn.line[0] is msg
-            if msg in turn.line:
-                turn.line.remove(msg)
-            if first and turn.line:
-                self.at(max(now, turn.rest), self.give_turn, turn)
-            elif not turn.line and now >= turn.rest:
-                del self.turns[msg.key]
-
-    def give_turn(self, now, turn):
-        if turn.line and now < turn.rest:
-            self.at(turn.rest, self.give_turn, turn)
-        elif turn.line and not turn.line[0].over and not turn.line[0].route and not turn.line[0].sent:
-            self.book(now, turn.line[0])
+            turn.line.remove(msg)
+            self.at(max(now, turn.rest), self.give_turn, msg.key)
+
+    def give_turn(self, now, key):
+        turn = self.turns.get(key)
+        if turn and not turn.line and now >= turn.rest:
+            del self.turns[key]
+        elif turn and turn.line and now >= turn.rest:
+            first = turn.line[0]
+            if not (first.over or first.route or first.sent or first in first.dst.stranded):
+                self.book(now, first)
 
     # Book: the cursor.
 
     def limit(self, rt):
-        """The listed or reported limit, this relay's part of it; else what was served when the refusal came."""
+        """This relay's part of the listed or reported limit; else what was served when the refusal came."""
         listed = rt.hosts[0].rate
         told = listed if listed is not None else rt.reported
         return told / self.relays if told else rt.learned
@@ -270,7 +269,7 @@
         self.rebook(now, rt)
 
     def slot(self, now, rt):
-        """The second with room and what it holds; a cursor behind now moves to now, a full second steps one on."""
+        """The second with room, its bookings; a cursor behind now moves to now, a full second steps on."""
         if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
             return rt.second, rt.used, rt.riders + 1
         budget = self.budget(now, rt)
@@ -363,8 +362,9 @@
     # Pick: hosts in ranked order, each filled up to a level before the next.
 
     def allowed(self, host, msg):
-        group = msg.lane.group if msg.lane.effect == "keyed" and (msg.ran_from is not None or msg.out) else None
-        return host.listed and not (group == "zone" and host.area != msg.ran_area)
+        ran = msg.ran_from is not None or msg.out
+        bound = ran and msg.lane.effect == "keyed" and msg.lane.group == "zone"
+        return host.listed and not (bound and host.area != msg.last_host.area)
 
     def pick(self, now, rt, msg):
         best = None
@@ -383,8 +383,10 @@
 
     def ready(self, now, host):
         """Whether a host may get a further call: not set aside, not quiet, and within its climb."""
-        if now < host.aside or (host.trial and host.calls):
+        if now < host.aside:
             return False
+        if host.trial:      # one call at a time; those from before the set-aside may hang for long
+            return not host.legs or next(reversed(host.legs.values())).at < host.aside
         if host.climb is not None and now < host.climb_next:
             self.at(host.climb_next, self.nothing)
             return False
@@ -437,7 +439,7 @@
                 self.rebook(now, host.route)
 
     def step_climb(self, now, host):
-        """Spaces the sends to a host that was out, so that all relays stay under the rule's multiple together."""
+        """Spaces the sends to a host that was out: all relays together stay under the rule's multiple."""
         cold = self.terms.get("cold", 10 * S)
         if now >= host.climb + cold:
             host.climb = None
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -33,7 +33,6 @@
     sent: int = 0                       # legs so far
     out: int = 0                        # legs without an outcome
     ran_from: int | None = None         # send time of the first leg that may have run
-    ran_area: str | None = None
     last_host: object = None
     rest: bool = False                  # a leg may still run after its outcome
     over: bool = False
--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,259 @@
+import pytest
+from helpers import MS, Relay, S, named
+
+from courseroute.decide import BOUND
+
+
+def refused_relay(**more):
+    """A relay whose destination has just refused a first message, which is booked anew."""
+    relay = Relay(**more)
+    name, _ = relay.take()
+    relay.back(name, "full")
+    return relay
+
+
+@pytest.mark.parametrize("rate, relays, report, served, expected", [
+    (4.0, 1, None, 0, 3.2),         # listed
+    (4.0, 2, None, 0, 1.6),         # listed, this relay's part
+    (None, 2, 6.0, 0, 2.4),         # reported, this relay's part
+    (None, 2, None, 5, 4.0),        # learned from what was served, not divided
+])
+def test_budget_after_first_refusal(rate, relays, report, served, expected):
+    relay = Relay(hosts=[("a", rate)], relays=relays)
+    told = {"left": 0.5, "limit": report} if report else None
+    names = [relay.take()[0] for _ in range(served + 1)]
+    for name in names[:-1]:
+        relay.back(name, "delivered")
+    relay.back(names[-1], "full", report=told)
+    rt = relay.relay.routes[0]
+    assert relay.relay.budget(relay.now, rt) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize("clean, refusals, expected", [
+    (0, 1, 0.8), (1, 1, 0.9), (5, 1, 1.0), (0, 2, 0.8), (1, 2, 0.45), (61, 1, None),
+])
+def test_headroom_grows_when_clean_and_halves_when_refused(clean, refusals, expected):
+    relay = refused_relay(hosts=[("a", 10.0)])
+    rt, d = relay.relay.routes[0], relay.relay
+    relay.now += clean * S
+    d.budget(relay.now, rt)
+    if refusals == 2:
+        d.refusal(relay.now, rt, 0)
+    budget = d.budget(relay.now, rt)
+    assert budget == (expected and pytest.approx(10 * expected))
+
+
+def test_nothing_binds_before_a_refusal_or_while_the_limit_reads_nought():
+    free = Relay(hosts=[("a", 1.0)])
+    assert sum(len(named(free.take()[1], "send")) for _ in range(4)) == 4
+    nought = Relay(hosts=[("a", None)])
+    name, _ = nought.take()
+    nought.back(name, "full", report={"left": 0, "limit": 0.0})
+    assert nought.relay.budget(nought.now, nought.relay.routes[0]) is None
+
+
+@pytest.mark.parametrize("rate, most", [(1.0, 11), (2.5, 26), (0.4, 6)])
+def test_budget_holds_over_time_and_order_is_fifo(rate, most):
+    relay = refused_relay(hosts=[("a", rate)])
+    names = [relay.take()[0] for _ in range(60)]
+    for _ in range(100):
+        for act in relay.run(100 * MS, 50 * MS):
+            if act[0] == "send":
+                relay.back(act[1], "delivered", n=int(act[1] == "m1"))
+    sent = [act[2] for act in relay.sends()[1:]]
+    assert 1 < len(sent) <= most
+    assert [name for name in sent if name in names] == names[:len(sent) - 1]
+
+
+@pytest.mark.parametrize("waits", [1, 5])
+def test_a_told_wait_is_kept_and_does_not_reset_the_count(waits):
+    relay = refused_relay(hosts=[("a", 1.4)])
+    for _ in range(20):
+        relay.take()
+    before = len(relay.sends())
+    for _ in range(waits):
+        end = relay.now + 600 * MS
+        relay.relay.refusal(relay.now, relay.relay.routes[0], 600 * MS)
+        sent = len(relay.sends())
+        relay.run(595 * MS)
+        assert all(act[0] >= end for act in relay.sends()[sent:])
+    relay.run(400 * MS)
+    assert len(relay.sends()) - before <= 1 + waits
+
+
+@pytest.mark.parametrize("number, offset", [(0, 0), (1, 250), (3, 750)])
+def test_relays_take_places_apart_inside_a_second(number, offset):
+    relay = refused_relay(hosts=[("a", 5.0)], relays=4, number=number)
+    for _ in range(3):
+        relay.take()
+    for _ in range(60):
+        for act in named(relay.run(50 * MS), "send"):
+            relay.back(act[1], "delivered", n=int(act[1] == "m1"))
+    at = [act[0] % S // MS for act in relay.sends()[2:]]
+    assert at and all(abs(ms - offset) <= 5 for ms in at)
+
+
+@pytest.mark.parametrize("lane, ending, later, again, answer", [
+    ("retriable", "timeout", 0, True, None),
+    ("retriable", "error", 0, True, None),
+    ("keyed", "timeout", 0, True, None),
+    ("keyed", "timeout", 5 * S, False, "fail"),     # its window is over
+    ("keyed", "unreachable", 5 * S, True, None),    # proved not to have run
+    ("once", "full", 0, True, None),
+    ("once", "unreachable", 0, True, None),
+    ("once", "timeout", 0, False, "fail"),
+    ("once", "reset", 0, False, "fail"),
+    ("unknown", "error", 0, False, "fail"),         # a lane never named is taken as non-retriable
+])
+def test_further_legs_only_where_the_lane_allows(lane, ending, later, again, answer):
+    relay = Relay(hosts=[("a", 9.0), ("b", 9.0)])
+    name, acts = relay.take(lane)
+    relay.now += later
+    acts = relay.back(name, ending, host=acts[0][2]) + relay.run(1 * S)
+    assert bool(named(acts, "send")) == again
+    assert [act[0] for act in acts if act[0] in ("fail", "push back")] == ([answer] if answer else [])
+
+
+def test_a_window_that_closes_while_a_message_waits_ends_it():
+    relay = Relay()
+    name, _ = relay.take("keyed")
+    relay.back(name, "timeout")
+    relay.relay.hosts["a"].aside = relay.now + 6 * S    # nothing can be sent until the window is over
+    acts = relay.run(8 * S)
+    assert [act[0] for act in acts if act[0] != "send"] == ["fail"] or not named(acts, "send")
+
+
+def test_keyed_by_zone_stays_in_its_zone():
+    relay = Relay(hosts=[("a", 9.0)])
+    relay.tell("roster", "changes", [("b", "ready", "other", 9.0, "plain", "d")])
+    name, acts = relay.take("zoned")
+    first = acts[0][2]
+    acts = relay.back(name, "error", host=first) + relay.run(3 * S)
+    assert {act[2] for act in named(acts, "send")} <= {first}
+
+
+@pytest.mark.parametrize("lane", ["retriable", "keyed", "once", "unknown"])
+@pytest.mark.parametrize("ending", ["timeout", "full", "unreachable", "error", None])
+def test_exactly_one_answer_in_time_and_nothing_after(lane, ending):
+    relay = Relay()
+    name, _ = relay.take(lane, left=6 * S)
+    deadline, out, ended = relay.now + 6 * S, [(0, "a")], []
+    for _ in range(800):
+        relay.now += 10 * MS
+        acts = relay.tell("wake")
+        if ending and out:
+            acts += relay.back(name, ending, *out.pop(0))
+        for act in acts:
+            assert not (ended and act[0] == "send")
+            if act[0] == "send":
+                out.append((len(relay.sends()) - 1, act[2]))
+            if act[0] in ("fail", "push back"):
+                ended.append(relay.now)
+    assert len(ended) == 1 and ended[0] < deadline
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_drained_hosts_get_nothing_new_and_booked_messages_move(state):
+    relay = Relay(hosts=[("a", 2.0), ("b", 2.0)], kind="apart")
+    for host in "ab":
+        relay.relay.refusal(relay.now, relay.relay.hosts[host].route, 500 * MS)
+    for _ in range(6):
+        relay.take()
+    relay.tell("roster", "changes", [("a", state, "z", 2.0, "apart", "d")])
+    sent = len(relay.sends())
+    relay.run(6 * S)
+    assert {act[3] for act in relay.sends()[sent:]} == {"b"}
+
+
+def test_a_list_that_lost_a_host_strands_messages_until_one_comes():
+    relay = Relay()
+    relay.tell("roster", "full", [])
+    _, acts = relay.take()
+    assert not acts
+    assert named(relay.tell("roster", "changes", [("c", "ready", "z", 4.0, "plain", "d")]), "send")
+
+
+def test_set_aside_by_the_sequential_test_then_one_trial_then_a_climb():
+    relay = Relay(hosts=[("a", 4.0)])
+    for name in [relay.take()[0] for _ in range(3)]:
+        relay.back(name, "unreachable")
+    host = relay.relay.hosts["a"]
+    assert host.evidence >= BOUND and host.aside > relay.now and host.trial
+    for _ in range(20):
+        relay.take()
+    sent = len(relay.sends())
+    relay.run(host.aside - relay.now - 10 * MS)
+    assert len(relay.sends()) == sent
+    relay.run(500 * MS)
+    trials = relay.sends()[sent:]
+    assert len(trials) == 1
+    n = sum(act[2] == trials[0][2] for act in relay.sends()) - 1
+    relay.back(trials[0][2], "delivered", n=n)
+    sent = len(relay.sends())
+    relay.run(3 * S)
+    assert 1 <= len(relay.sends()) - sent <= 4 * 3 * 2 * 0.5    # the rule's multiple of a cold share, no more
+
+
+def test_a_hanging_destination_keeps_slots_for_the_others():
+    relay = Relay(slots=8)
+    relay.tell("roster", "changes", [("o", "ready", "z", 4.0, "plain", "other")])
+    for _ in range(20):
+        relay.take()
+    assert relay.relay.busy <= 4
+    assert named(relay.take(dst="other")[1], "send")
+
+
+def test_a_quiet_host_gets_nothing_more():
+    relay = Relay()
+    relay.take()
+    relay.run(1 * S)
+    assert not named(relay.take()[1], "send")
+
+
+@pytest.mark.parametrize("ending, rest", [("delivered", 0), ("full", 0), ("timeout", S), ("reset", S)])
+def test_order_by_key(ending, rest):
+    relay = Relay()
+    first, _ = relay.take("ordered", "k")
+    second, acts = relay.take("ordered", "k")
+    other, more = relay.take("ordered", "j")
+    assert not acts and named(more, "send")
+    relay.back(other, "delivered")
+    relay.back(first, ending, over=True)
+    start = relay.now
+    relay.run(3 * S)
+    at = [act[0] for act in relay.sends() if act[2] == second]
+    assert at and at[0] - start >= rest
+
+
+def test_one_call_carries_what_leaves_together():
+    relay = refused_relay(hosts=[("a", 1.0)], kind="apart")
+    for _ in range(9):
+        relay.take()
+    relay.run(2 * S)
+    times = [act[0] for act in relay.sends()]
+    per_batch = [times.count(at) for at in sorted(set(times))]
+    assert max(per_batch) == 5 and relay.relay.busy <= len(per_batch)
+
+
+@pytest.mark.parametrize("left", [50 * MS, 0, -S])
+def test_too_late_on_arrival_is_answered_at_once(left):
+    relay = Relay()
+    assert [act[0] for act in relay.take(left=left)[1]] == ["push back"]
+
+
+@pytest.mark.parametrize("endings", [["failed"], ["failed", "failed", "failed"]])
+def test_a_failed_watch_is_renewed(endings):
+    relay = Relay(ask=True, ask_within=10 * S)
+    for scope in endings:
+        relay.tell("roster", scope, [])
+        assert named(relay.run(3 * S, 50 * MS), "watch")
+
+
+def test_a_message_withdrawn_or_unknown_is_harmless():
+    relay = Relay()
+    name, _ = relay.take()
+    relay.tell("withdraw", name)
+    relay.tell("withdraw", "never")
+    assert not named(relay.back(name, "timeout"), "send")
+    assert not relay.back("never", "delivered")
+    assert not relay.relay.open and not relay.relay.busy
