--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -13,7 +13,7 @@
 
 MS = 1_000_000
 S = 1000 * MS
-HEADROOM, GROWTH, CUT, FORGET = 0.8, 0.1, 0.5, 60 * S       # the budget, as the design page has it
+HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.5, 60 * S   # the budget, as the design page has it
 LEAST = 1.0                                                 # sends a second that cuts leave
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
 MEMORY = 64                                                 # values before a histogram is halved
@@ -70,7 +70,7 @@
         for dst in self.dsts.values():
             for rt in dst.routes:
                 if rt.held and not any(host.listed for host in rt.hosts):
-                    self.rebook(now, rt)
+                    self.rebook(now, rt, True)
             stranded, dst.stranded = dst.stranded, []
             for msg in stranded:
                 if not msg.over:
@@ -196,6 +196,8 @@
         for dst in self.dsts.values():
             for rt in dst.routes:
                 rt.hosts.sort(key=standing)
+                if rt.held and self.budget(now, rt) and rt.booked < rt.headroom:
+                    self.rebook(now, rt)    # what was booked under a smaller budget would stay late
             dst.routes.sort(key=lambda rt: standing(rt.hosts[0]))
         self.at(now + RENEW, self.rank)
 
@@ -251,7 +253,7 @@
         clean = (now - rt.grown) // S
         if clean:
             rt.grown += clean * S
-            rt.headroom = min(1.0, rt.headroom + GROWTH * clean)
+            rt.headroom = min(MOST, rt.headroom + GROWTH * clean)
             rt.learned *= (1 + GROWTH) ** clean
         return max(0.05, rt.headroom * self.limit(rt))
 
@@ -266,15 +268,15 @@
         rt.spent = min(rt.spent, max(1.0, self.budget(now, rt) or 1.0))
         if wait:
             rt.wait = max(rt.wait, now + wait)
-        self.rebook(now, rt)
+        self.rebook(now, rt, now < rt.wait)
 
     def slot(self, now, rt):
         """The second with room, its bookings; a cursor behind now moves to now, a full second steps on."""
-        if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
-            return rt.second, rt.used, rt.riders + 1
         budget = self.budget(now, rt)
         if budget is None:
             return max(now, rt.wait), 0, 0
+        if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
+            return rt.second, rt.used, rt.riders + 1
         second, used = rt.second, rt.used
         begin = max(now, rt.wait)
         start = begin // S * S
@@ -318,13 +320,16 @@
         else:
             self.at(due, self.fall_due, msg, rt, due)
 
-    def rebook(self, now, rt):
-        """Books all that a route holds anew, in their order, after what it sent in the running second."""
-        held, rt.held, rt.line = sorted(rt.held.values(), key=lambda msg: msg.seq), {}, []
-        rt.second, rt.used, rt.riders = rt.spent_from, rt.spent, 0
-        for msg in held:
+    def rebook(self, now, rt, due_too=False):
+        """Books anew what a route holds, in its order; what has a slot already keeps it but where told."""
+        kept = 0 if due_too else sum(msg.due <= now for msg in rt.held.values())
+        moved = [msg for msg in rt.held.values() if due_too or msg.due > now]
+        rt.second, rt.used, rt.riders = rt.spent_from, rt.spent + kept, 0
+        rt.booked = rt.headroom
+        for msg in moved:
+            del rt.held[msg.name]
             msg.route = None
-        for msg in held:
+        for msg in sorted(moved, key=lambda msg: msg.seq):
             self.book(now, msg)
 
     def fall_due(self, now, msg, rt, due):
@@ -436,7 +441,7 @@
             self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
             self.at(host.aside, self.nothing)
             if len(host.dst.routes) > 1:
-                self.rebook(now, host.route)
+                self.rebook(now, host.route, True)
 
     def step_climb(self, now, host):
         """Spaces the sends to a host that was out: all relays together stay under the rule's multiple."""
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -93,6 +93,7 @@
     learned: float = 0.0
     reported: float | None = None
     cut: int = 0
+    booked: float = 0.0                 # headroom under which the held ones were booked
     grown: int = 0
     spent_from: int = 0
     spent: int = 0
