A destination may hold only as many messages as room is free

Guards against any symptom that piles up one destination's messages: outage, hot traffic, small limit. Harm: a lone destination's burst uses half of the room at most.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -204,7 +204,9 @@
     # Admit: lanes, shares, holding room.
 
     def admit(self, now, msg):
-        if now >= self.late(msg):
+        """One destination may hold as much as is still free: its backlog must not shut out the others."""
+        free = self.terms.get("room", 1 << 30) - len(self.open)
+        if now >= self.late(msg) or sum(len(rt.held) for rt in msg.dst.routes) > free:
             self.end(now, msg)
         return not msg.over
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -83,10 +83,10 @@
 
 @pytest.mark.parametrize("number, offset", [(0, 0), (1, 250), (3, 750)])
 def test_relays_take_places_apart_inside_a_second(number, offset):
-    relay = refused_relay(hosts=[("a", 5.0)], relays=4, number=number)
+    relay = refused_relay(hosts=[("a", 3.0)], relays=4, number=number)
     for _ in range(3):
         relay.take()
-    for _ in range(60):
+    for _ in range(200):
         for act in named(relay.run(50 * MS), "send"):
             relay.back(act[1], "delivered", n=int(act[1] == "m1"))
     at = [act[0] % S // MS for act in relay.sends()[2:]]
@@ -235,6 +235,14 @@
     assert max(per_batch) == 5 and relay.relay.busy <= len(per_batch)
 
 
+def test_one_destination_cannot_take_the_whole_room():
+    relay = refused_relay(room=10, hosts=[("a", 1.0)])
+    acts = [act for _ in range(15) for act in relay.take()[1]]
+    assert len(named(acts, "push back")) == 15 - 4
+    relay.tell("roster", "changes", [("o", "ready", "z", 4.0, "plain", "other")])
+    assert named(relay.take(dst="other")[1], "send")
+
+
 @pytest.mark.parametrize("left", [50 * MS, 0, -S])
 def test_too_late_on_arrival_is_answered_at_once(left):
     relay = Relay()
