Time-outs have an upper bound; a trial call gets the least

Guards against hangs, silent machines and lost answers alike. Harm: a destination whose calls all take over 3 s is never answered.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -25,7 +25,7 @@
 ASIDE = 1 * S                                               # set aside for so long, and up to half more
 RENEW = 1 * S                                               # ranks are renewed so often
 LEVEL = 2                                                   # calls before the next in rank gets one
-PATIENCE, LEAST_PATIENCE = 6, 1500 * MS                     # time-out: so many slow calls, no less than
+PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SMOOTH = 0.1                                                # weight of a new reported limit
 CLIMB = 0.7                                                 # of the rule's multiple, all relays together
 
@@ -401,11 +401,13 @@
         return first is None or host.heard > first.at or now - first.at < self.patience(host) // 2
 
     def patience(self, host):
+        """A call's time-out. Its upper bound guards the slots where calls stay unanswered for whatever cause:
+        what was learned from slow calls would let each dead one hold a slot for many seconds."""
         slow = host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
-        return max(LEAST_PATIENCE, PATIENCE * slow)
+        return min(max(LEAST_PATIENCE, PATIENCE * slow), MOST_PATIENCE)
 
     def send(self, now, msg, rt, host):
-        until = min(now + self.patience(host), msg.deadline - self.margin)
+        until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
         call = host.open_call
         if not (call and call.at == now and call.size < rt.per_call and call.left):
             call = host.open_call = Call(host, now)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -265,3 +265,13 @@
     assert not named(relay.back(name, "timeout"), "send")
     assert not relay.back("never", "delivered")
     assert not relay.relay.open and not relay.relay.busy
+
+
+@pytest.mark.parametrize("took", [100 * MS, 900 * MS, 9 * S])
+def test_no_time_out_outgrows_its_bound(took):
+    relay = Relay()
+    for _ in range(30):
+        name, acts = relay.take()
+        relay.back(name, "delivered", took=took)
+    _, acts = relay.take()
+    assert 1500 * MS <= named(acts, "send")[0][3] - relay.now <= 3 * S
