A host that answers with errors is slowed, not set aside

Now it goes on at the pace a cold destination bears, which keeps the rule on returning destinations by itself. Guards against partial failure of any cause; harm: a few wasted legs where all calls fail quickly.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -439,6 +439,13 @@
                 host.trial, host.evidence, host.climb, host.climb_next = False, 0.0, now, now
                 self.step_climb(now, host)
                 self.log(f"host {host.index}: returned, climbing")
+        elif host.evidence >= BOUND and ending == "error":
+            # It answers, if badly: some calls get through, so it goes on at the pace of a cold start. Guards
+            # against partial failure; where all calls fail it wastes a few legs that silence would save.
+            if host.climb is None:
+                self.log(f"host {host.index}: slowed on errors, evidence {host.evidence:.1f}")
+            host.climb, host.trial, host.evidence = now, False, BOUND
+            self.step_climb(now, host)
         elif host.evidence >= BOUND and now >= host.aside and leg.at >= host.aside:
             host.aside = now + ASIDE + int(self.draw(0, ASIDE / 2))
             host.trial, host.climb = True, None
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -275,3 +275,15 @@
         relay.back(name, "delivered", took=took)
     _, acts = relay.take()
     assert 1500 * MS <= named(acts, "send")[0][3] - relay.now <= 3 * S
+
+
+def test_a_host_that_fails_part_of_its_calls_is_slowed_not_silenced():
+    relay = Relay(hosts=[("a", 8.0)])
+    for _ in range(3):
+        name, acts = relay.take("once")
+        relay.back(name, "error")
+    host = relay.relay.hosts["a"]
+    assert host.climb == relay.now and host.aside <= relay.now
+    for _ in range(40):
+        relay.take()
+    assert 2 <= len(named(relay.run(3 * S), "send")) <= 3 * 8 * 2 * 0.5
