--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -66,6 +66,7 @@
     ):
         carry(name, path, convert)
     terms["ask"] = told.get("discovery") == "on_request"
+    terms["rough"] = told.get("weight-source") == "rough"
     terms["listed_rates"] = told.get("weight-source", "none") != "none"
     if not truth(told.get("permissions.retry-after", "true")):
         terms["stay_away"] = 0
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -27,7 +27,7 @@
 LEVEL = 2                                                   # calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SMOOTH = 0.1                                                # weight of a new reported limit
-CLIMB = 0.7                                                 # of the rule's multiple, all relays together
+ROUGH = 1.5                                                 # a rate told roughly may be so many times too high
 
 
 class Dispatcher:
@@ -464,7 +464,7 @@
         share = start + (1 - start) * (now - host.climb) / cold
         told = host.rate or host.route.reported
         rate = (told / self.relays if told else max(LEAST, host.route.learned)) / len(host.route.hosts)
-        rate *= share * max(1.0, self.terms.get("overload", 1.0) * CLIMB)
+        rate *= share * max(1.0, self.terms.get("overload", 1.0)) / (ROUGH if self.terms.get("rough") else 1)
         host.climb_next = max(now, host.climb_next) + int(S / rate)
 
     def may_send(self, when, msg):
