--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -27,7 +27,7 @@
 LEVEL = 2                                                   # calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SMOOTH = 0.1                                                # weight of a new reported limit
-ROUGH = 1.5                                                 # a rate told roughly may be so many times too high
+ROUGH = 1.5                                                 # a rough rate may be so many times too high
 
 
 class Dispatcher:
@@ -38,7 +38,7 @@
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lined = {}, {}, {}, {}
         self.routes = []
-        self.busy, self.watched = 0, None
+        self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
         self.phase = (terms.get("number") or 0) % self.relays / self.relays
@@ -50,17 +50,17 @@
 
     def start(self, now):
         if self.terms.get("ask"):
-            self.watch(now)
+            self.plan_watch(now, 0)
         self.at(now + RENEW, self.rank)
         return self.said()
 
     def roster(self, now, scope, entries):
         if scope == "failed":
-            self.watched = None
-            self.at(now + int(self.draw(0.5, 1.0) * S), self.watch)
+            self.watched, self.failed = None, self.failed + 1
+            self.plan_watch(now, min(S << self.failed, self.terms.get("ask_within", 10 * S) / 3))
             return self.said()
         if scope != "saved":
-            self.watched = now
+            self.watched, self.failed = now, 0
         if scope != "changes":
             for host in self.hosts.values():
                 host.listed = False
@@ -158,11 +158,16 @@
     def log(self, text):
         self.acts.append(("log", text))
 
-    def watch(self, now):
-        """Asks for the list until it is told, well inside the time after which silence counts as told."""
-        if self.watched is None:
+    def watch(self, now, ask):
+        """Asks for the list until it is told, well inside the time after which silence counts as told. Only
+        the newest ask planned is made: a directory that fails for long must not be asked ever more often."""
+        if ask == self.asks and self.watched is None:
             self.acts.append(("watch",))
-            self.at(now + self.terms.get("ask_within", 10 * S) // 3, self.watch)
+            self.plan_watch(now, self.terms.get("ask_within", 10 * S) / 3)
+
+    def plan_watch(self, now, wait):
+        self.asks += 1
+        self.at(now + int(wait * self.draw(0.5, 1.0)), self.watch, self.asks)
 
     def usual(self, lane):
         return lane.calls.quantile(0.5) or USUAL
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -26,6 +26,7 @@
     relays, number (this relay's among them, from 0), area, slots, room, legs, cancel, copies,
     stay_away (longest advice that clients heed), tick,
     drain_grace, ask (the list answers only when asked), ask_within, cold, cold_from, overload, fall,
-    rough (listed rates are), turn_gap, kinds (kind -> {apart, per_call}), customers (name -> quota a second), over_share (value kept),
+    rough (listed rates are), turn_gap, kinds (kind -> {apart, per_call}),
+    customers (name -> quota a second), over_share (value kept),
     lanes (name -> {target, deadline, effect, group, window, value, late_value, ordered})
 """
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -249,12 +249,14 @@
     assert [act[0] for act in relay.take(left=left)[1]] == ["push back"]
 
 
-@pytest.mark.parametrize("endings", [["failed"], ["failed", "failed", "failed"]])
-def test_a_failed_watch_is_renewed(endings):
+@pytest.mark.parametrize("failures", [1, 3, 12])
+def test_a_failed_watch_is_renewed_and_never_multiplies(failures):
     relay = Relay(ask=True, ask_within=10 * S)
-    for scope in endings:
-        relay.tell("roster", scope, [])
-        assert named(relay.run(3 * S, 50 * MS), "watch")
+    asked = []
+    for _ in range(failures):
+        relay.tell("roster", "failed", [])
+        asked = named(relay.run(4 * S, 50 * MS), "watch")
+        assert 1 <= len(asked) <= 4
 
 
 def test_a_message_withdrawn_or_unknown_is_harmless():
