A slot that others wait for is taken back from the longest overdue call

Guards against hangs, lost answers and slow-downs alike; harm: a slow call may be cut and run twice at the destination.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -26,6 +26,7 @@
 RENEW = 1 * S                                               # ranks are renewed so often
 LEVEL = 2                                                   # calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
+OVERDUE, LEAST_OVERDUE = 3, 800 * MS                        # so many slow calls: overdue, but no less
 SMOOTH = 0.1                                                # weight of a new reported limit
 ROUGH = 1.5                                                 # a rough rate may be so many times too high
 
@@ -107,13 +108,11 @@
         call.left -= 1
         if not call.left:
             self.busy, host.calls, rt.calls = self.busy - 1, host.calls - 1, rt.calls - 1
-        if ending in ("timeout", "reset", "cancelled"):
-            msg.rest = True
-            if msg.key and msg.lane.ordered:
-                turn = self.turns[msg.key]
-                turn.rest = max(turn.rest, now + self.terms.get("turn_gap", 0))
-        if ending not in NEVER_RAN and msg.ran_from is None:
-            msg.ran_from = leg.at
+        if ending in ("timeout", "reset", "cancelled") and msg.key and msg.lane.ordered:
+            self.turns[msg.key].rest = now + self.terms.get("turn_gap", 0)
+        msg.ran = msg.ran or ending not in NEVER_RAN
+        if not (msg.ran or msg.out):
+            msg.first = None
         if report:
             told = report["limit"]      # noisy: smoothed, but nought and a first figure count at once
             rt.reported = told if not (told and rt.reported) else rt.reported + (told - rt.reported) * SMOOTH
@@ -123,7 +122,7 @@
             host.times.add(took)
             msg.lane.calls.add(took)
             rt.served.add(now)
-        self.judge(now, host, ending, leg)
+        self.judge(now, host, "timeout" if leg.cut and ending == "cancelled" else ending, leg)
         if over:
             self.finish(now, msg)
         elif not msg.over and not msg.out:
@@ -362,6 +361,17 @@
                 heapq.heappop(rt.line)
                 self.send(now, msg, rt, host)
                 self.push_head(heads, rt)
+        if self.lined and self.busy >= self.slots and self.terms.get("cancel"):
+            self.reclaim(now)
+
+    def reclaim(self, now):
+        """Takes a slot that others wait for back from the longest overdue call that may go again. Guards
+        against calls that stay unanswered, whatever the cause; harm: a slow call may be cut."""
+        for leg in self.legs.values():
+            if not leg.cut and now - leg.at > self.overdue(leg.host) and self.may_send(now, leg.msg):
+                leg.cut = True
+                self.acts.append(("cancel", leg.msg.name, leg.n))
+                return
 
     def push_head(self, heads, rt):
         while rt.line and (rt.line[0][2].route is not rt or rt.line[0][2].over):
@@ -374,8 +384,7 @@
     # Pick: hosts in ranked order, each filled up to a level before the next.
 
     def allowed(self, host, msg):
-        ran = msg.ran_from is not None or msg.out
-        bound = ran and msg.lane.effect == "keyed" and msg.lane.group == "zone"
+        bound = msg.first is not None and msg.lane.effect == "keyed" and msg.lane.group == "zone"
         return host.listed and not (bound and host.area != msg.last_host.area)
 
     def pick(self, now, rt, msg):
@@ -405,11 +414,17 @@
         first = next(iter(host.legs.values()), None)
         return first is None or host.heard > first.at or now - first.at < self.patience(host) // 2
 
+    def slow(self, host):
+        lanes = self.lanes.values()
+        return host.times.quantile(0.9) or max((lane.calls.quantile(0.9) or 0 for lane in lanes), default=0)
+
     def patience(self, host):
         """A call's time-out. Its upper bound guards the slots where calls stay unanswered for whatever cause:
         what was learned from slow calls would let each dead one hold a slot for many seconds."""
-        slow = host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
-        return min(max(LEAST_PATIENCE, PATIENCE * slow), MOST_PATIENCE)
+        return min(max(LEAST_PATIENCE, PATIENCE * self.slow(host)), MOST_PATIENCE)
+
+    def overdue(self, host):
+        return max(LEAST_OVERDUE, OVERDUE * self.slow(host))
 
     def send(self, now, msg, rt, host):
         until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
@@ -430,6 +445,7 @@
         msg.route, msg.last_host = None, host
         leg = Leg(msg, msg.sent, host, now, until, call)
         self.legs[(msg.name, msg.sent)] = host.legs[(msg.name, msg.sent)] = leg
+        msg.first = msg.first if msg.first is not None else now
         msg.sent += 1
         msg.out += 1
         self.acts.append(("send", msg.name, host.name, until))
@@ -476,10 +492,9 @@
         """Whether a further leg is allowed at that time."""
         if msg.sent >= self.terms.get("legs", 1 << 30):
             return False
-        if msg.lane.effect == "retriable" or (msg.ran_from is None and not msg.out):
+        if msg.lane.effect == "retriable" or msg.first is None:
             return True
-        first = msg.ran_from if msg.ran_from is not None else 0
-        return msg.lane.effect == "keyed" and when < first + msg.lane.window - self.margin
+        return msg.lane.effect == "keyed" and when < msg.first + msg.lane.window - self.margin
 
     def again(self, now, msg):
         """A leg came back without success: a fresh booking, where the lane still allows one."""
@@ -500,8 +515,7 @@
         if msg.over:
             return
         lane = msg.lane
-        ran = msg.ran_from is not None or msg.out
-        harmless = not ran or lane.effect == "retriable" or (
+        harmless = msg.first is None or lane.effect == "retriable" or (
             lane.effect == "keyed" and lane.group == "all" and self.may_send(now, msg))
         if harmless:
             stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=0)
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -32,9 +32,9 @@
     route: object = None                # where it is booked and held, None else
     sent: int = 0                       # legs so far
     out: int = 0                        # legs without an outcome
-    ran_from: int | None = None         # send time of the first leg that may have run
+    first: int | None = None            # send time of the first leg that may have run or is out
+    ran: bool = False                   # some leg's outcome leaves that open
     last_host: object = None
-    rest: bool = False                  # a leg may still run after its outcome
     over: bool = False
 
 
@@ -54,6 +54,7 @@
     at: int
     until: int
     call: Call
+    cut: bool = False                   # called off, its outcome yet to come
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -289,3 +289,16 @@
     for _ in range(40):
         relay.take()
     assert 2 <= len(named(relay.run(3 * S), "send")) <= 3 * 8 * 2 * 0.5
+
+
+@pytest.mark.parametrize("lane, age, cut", [("retriable", 1000, 1), ("retriable", 500, 0), ("once", 1000, 0)])
+def test_a_slot_others_wait_for_is_taken_back_from_an_overdue_call(lane, age, cut):
+    relay = Relay(slots=1)
+    relay.tell("roster", "changes", [("o", "ready", "z", 4.0, "plain", "other")])
+    first, _ = relay.take(lane)
+    relay.take(dst="other")
+    cuts = named(relay.run(age * MS), "cancel")
+    assert len(cuts) == cut
+    if cut:
+        assert named(relay.back(first, "cancelled", over=False), "send")[0][2] == "o"
+        assert relay.relay.hosts["a"].evidence > 0
