--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -13,7 +13,7 @@
 
 MS = 1_000_000
 S = 1000 * MS
-HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.5, 60 * S   # the budget, as the design page has it
+HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.7, 60 * S   # the budget, as the design page has it
 LEAST = 1.0                                                 # sends a second that cuts leave
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
 MEMORY = 64                                                 # values before a histogram is halved
