--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -27,6 +27,7 @@
 LEVEL = 2                                                   # calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 OVERDUE, LEAST_OVERDUE = 3, 800 * MS                        # so many slow calls: overdue, but no less
+SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 SMOOTH = 0.1                                                # weight of a new reported limit
 ROUGH = 1.5                                                 # a rough rate may be so many times too high
 
@@ -37,7 +38,7 @@
         self.draw = random.Random(seed).uniform
         self.acts, self.agenda, self.ticket, self.armed = [], [], 0, None
         self.lanes, self.dsts, self.hosts = {}, {}, {}
-        self.open, self.legs, self.turns, self.lined = {}, {}, {}, {}
+        self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
         self.routes = []
         self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
         self.slots = terms.get("slots") or 1
@@ -151,8 +152,8 @@
         self.ticket += 1
         heapq.heappush(self.agenda, (when, self.ticket, what, told))
 
-    def nothing(self, now):
-        """A wake-up for the release that follows."""
+    def look(self, now):
+        """A wake-up for the one release that closes the batch; releasing here would breed more."""
 
     def log(self, text):
         self.acts.append(("log", text))
@@ -168,11 +169,8 @@
         self.asks += 1
         self.at(now + int(wait * self.draw(0.5, 1.0)), self.watch, self.asks)
 
-    def usual(self, lane):
-        return lane.calls.quantile(0.5) or USUAL
-
     def late(self, msg):
-        return msg.deadline - self.usual(msg.lane) - self.margin
+        return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
 
     def destination(self, where):
         if where not in self.dsts:
@@ -209,6 +207,12 @@
 
     def admit(self, now, msg):
         """One destination may hold as much as is still free: its backlog must not shut out the others."""
+        quota = self.terms.get("customers", {}).get(msg.customer, 0) / self.relays
+        if quota:       # beyond its share a message is worth little: it may wait for its target time only
+            at, left = self.shares.get(msg.customer, (now, 1 << 30))
+            left = min(max(1.0, quota * SHARE_SPAN / S), left + quota * (now - at) / S)
+            msg.over_share = left < 1
+            self.shares[msg.customer] = now, left - (not msg.over_share)
         free = self.terms.get("room", 1 << 30) - len(self.open)
         if now >= self.late(msg) or sum(len(rt.held) for rt in msg.dst.routes) > free:
             self.end(now, msg)
@@ -313,7 +317,7 @@
                 best = key, rt, second, used, riders
         _, rt, second, used, riders = best
         due = self.place(now, rt, second, used) if riders else max(now, second)
-        if due >= self.late(msg) or not self.may_send(due, msg):
+        if due >= self.late(msg) or not self.may_send(due, msg) or (msg.over_share and due > now + msg.lane.target):
             self.end(now, msg)
             return
         rt.second, rt.used, rt.riders = second, used, riders
@@ -352,14 +356,12 @@
         while heads:
             _, _, rt = heapq.heappop(heads)
             msg = rt.line[0][2]
+            host = None
             if not self.may_send(now, msg):     # a window may close while a message waits for its slot
                 self.end(now, msg)
-                self.push_head(heads, rt)
-                continue
-            host = self.pick(now, rt, msg)
-            if host:
-                heapq.heappop(rt.line)
+            elif host := self.pick(now, rt, msg):
                 self.send(now, msg, rt, host)
+            if host or msg.over:
                 self.push_head(heads, rt)
         if self.lined and self.busy >= self.slots and self.terms.get("cancel"):
             self.reclaim(now)
@@ -409,7 +411,7 @@
         if host.trial:      # one call at a time; those from before the set-aside may hang for long
             return not host.legs or next(reversed(host.legs.values())).at < host.aside
         if host.climb is not None and now < host.climb_next:
-            self.at(host.climb_next, self.nothing)
+            self.at(host.climb_next, self.look)
             return False
         first = next(iter(host.legs.values()), None)
         return first is None or host.heard > first.at or now - first.at < self.patience(host) // 2
@@ -471,7 +473,7 @@
             host.aside = now + ASIDE + int(self.draw(0, ASIDE / 2))
             host.trial, host.climb = True, None
             self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
-            self.at(host.aside, self.nothing)
+            self.at(host.aside, self.look)
             if len(host.dst.routes) > 1:
                 self.rebook(now, host.route, True)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -302,3 +302,12 @@
     if cut:
         assert named(relay.back(first, "cancelled", over=False), "send")[0][2] == "o"
         assert relay.relay.hosts["a"].evidence > 0
+
+
+def test_beyond_its_share_a_customers_messages_do_not_wait_long():
+    relay = refused_relay(hosts=[("a", 1.0)], customers={"c": 2.0, "d": 2.0})
+    acts = []
+    for n in range(14):
+        acts += relay.tell("take", f"c{n}", "d", "retriable", relay.now + 16 * S, None, "c", False)
+    assert {act[1] for act in named(acts, "push back")} == {"c11", "c12", "c13"}
+    assert not relay.tell("take", "d0", "d", "retriable", relay.now + 16 * S, None, "d", False)
