--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -317,7 +317,8 @@
                 best = key, rt, second, used, riders
         _, rt, second, used, riders = best
         due = self.place(now, rt, second, used) if riders else max(now, second)
-        if due >= self.late(msg) or not self.may_send(due, msg) or (msg.over_share and due > now + msg.lane.target):
+        too_long = msg.over_share and due > now + msg.lane.target
+        if due >= self.late(msg) or too_long or not self.may_send(due, msg):
             self.end(now, msg)
             return
         rt.second, rt.used, rt.riders = second, used, riders
