--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -142,8 +142,6 @@
             self.acts.append(("wake", self.armed - now))
         return self.said()
 
-    # Small helpers.
-
     def said(self):
         acts, self.acts = self.acts, []
         return acts
@@ -263,6 +261,7 @@
         clean = (now - rt.grown) // S
         if clean:
             rt.grown += clean * S
+            clean = min(clean, rt.served.most(now))     # seconds without deliveries prove nothing
             rt.headroom = min(MOST, rt.headroom + GROWTH * clean)
             rt.learned *= (1 + GROWTH) ** clean
         return max(0.05, rt.headroom * self.limit(rt))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -29,13 +29,16 @@
     assert relay.relay.budget(relay.now, rt) == pytest.approx(expected)
 
 
-@pytest.mark.parametrize("clean, refusals, expected", [
-    (0, 1, 0.8), (1, 1, 0.9), (5, 1, 1.0), (0, 2, 0.8), (1, 2, 0.9 * CUT), (61, 1, None),
+@pytest.mark.parametrize("clean, delivered, refusals, expected", [
+    (0, 9, 1, 0.8), (1, 9, 1, 0.9), (5, 9, 1, 1.0), (5, 0, 1, 0.8), (5, 1, 1, 0.9),
+    (0, 9, 2, 0.8), (1, 9, 2, 0.9 * CUT), (61, 9, 1, None),
 ])
-def test_headroom_grows_when_clean_and_is_cut_when_refused(clean, refusals, expected):
+def test_headroom_grows_when_clean_and_is_cut_when_refused(clean, delivered, refusals, expected):
     relay = refused_relay(hosts=[("a", 10.0)])
     rt, d = relay.relay.routes[0], relay.relay
     relay.now += clean * S
+    for _ in range(delivered):
+        rt.served.add(relay.now)
     d.budget(relay.now, rt)
     if refusals == 2:
         d.refusal(relay.now, rt, 0)
