Tries of a host that is out are spaced by relays and by time; lost calls close idle connections

Trial and climb are one spacing now: by the rule's multiple of a cold share of the limit, or by four times as long as the failures lasted, whichever is shorter. A refusal with nothing delivered since the cut before counts as a failure.

--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -126,6 +126,8 @@
         return f"LOSE{head}\thandle={action[1]}"
     if what == "cancel":
         return f"CANCEL{head}\thandle={action[1]}\tn={action[2]}"
+    if what == "close":
+        return f"CLOSE{head}\thost={action[1]}"
     if what == "watch":
         return f"TAIL{head}\tactive=1"
     if what == "log":
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -20,16 +20,17 @@
 USUAL = 100 * MS                                            # a call's time while none is known
 NEVER_RAN = ("full", "unreachable", "unsent")
 # The sequential test: what an outcome adds to the evidence against a host, and the bound that sets it aside.
-EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 2.3, "full": 0.0}
+EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 4.5, "full": 2.3}
 BOUND = 4.5
 BRIEF = 3 * S                                               # a shorter silence is no outage
 ASIDE = 1 * S                                               # set aside for so long, and up to half more
+SPREAD = 4                                                  # tries again spread over so many times the outage
 RENEW = 1 * S                                               # ranks are renewed so often
 LEVEL = 2                                                   # calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
-OVERDUE, LEAST_OVERDUE = 2, 600 * MS                        # so many slow calls: overdue, but no less
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 SMOOTH = 0.1                                                # weight of a new reported limit
+LOSSY, LAG = 0.1, 0.05                                      # so many calls lost: connections are not kept
 ROUGH = 1.5                                                 # a rough rate may be so many times too high
 
 
@@ -40,7 +41,7 @@
         self.acts, self.agenda, self.ticket, self.armed = [], [], 0, None
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
-        self.routes = []
+        self.routes, self.measured, self.lost = [], {}, {}
         self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
@@ -117,17 +118,19 @@
         if report:
             told = report["limit"]      # noisy: smoothed, but nought and a first figure count at once
             rt.reported = told if not (told and rt.reported) else rt.reported + (told - rt.reported) * SMOOTH
-        if ending == "full":
-            self.refusal(now, rt, wait)
-        elif ending == "delivered":
+        alone = ending == "full" and self.refusal(now, rt, wait)
+        if ending == "delivered":
             host.times.add(took)
             msg.lane.calls.add(took)
             rt.served.add(now)
-        self.judge(now, host, "timeout" if leg.cut and ending == "cancelled" else ending, leg)
+        self.measured[msg.dst.index] = msg.dst
+        self.keep_connection(host, ending)
+        self.judge(now, host, ending, leg, alone)
         if over:
             self.finish(now, msg)
         elif not msg.over and not msg.out:
-            self.again(now, msg)
+            msg.seq = 0         # a fresh booking, where the lane still allows one
+            self.book(now, msg)
         if msg.over and not msg.out:
             self.pass_turn(now, msg)
         return self.said()
@@ -185,20 +188,20 @@
         rt = dst.routes[-1]
         host = self.hosts[name] = Host(name, len(self.hosts), dst, rt, kind, times=Histogram(EDGES, MEMORY))
         rt.hosts.append(host)
-        dst.hosts.append(host)
         return host
 
     def rank(self, now):
         """The timer that renews the order in which a destination's hosts, and its routes, are filled."""
         def standing(host):
-            slow = host.times.quantile(0.5) or 0
-            return (host.evidence >= BOUND / 2, slow, host.index)
-        for dst in self.dsts.values():
+            return host.evidence >= BOUND / 2, host.times.quantile(0.5) or 0, host.index
+        for dst in list(self.measured.values()):    # only where something came back since the last time
             for rt in dst.routes:
                 rt.hosts.sort(key=standing)
-                if rt.held and self.budget(now, rt) and rt.booked < rt.headroom:
-                    self.rebook(now, rt)    # what was booked under a smaller budget would stay late
             dst.routes.sort(key=lambda rt: standing(rt.hosts[0]))
+        self.measured.clear()
+        for rt in {msg.route.index: msg.route for msg in self.open.values() if msg.route}.values():
+            if self.budget(now, rt) and rt.booked < rt.headroom:
+                self.rebook(now, rt)    # what was booked under a smaller budget would stay late
         self.at(now + RENEW, self.rank)
 
     # Admit: lanes, shares, holding room.
@@ -267,6 +270,9 @@
         return max(0.05, rt.headroom * self.limit(rt))
 
     def refusal(self, now, rt, wait):
+        """Cuts the budget; tells whether nothing was delivered since the cut before: who is shut refuses all,
+        who is only full takes some. Harm: to one of many relays a far too small limit looks shut, too."""
+        alone = rt.refused is not None and rt.cut > rt.heard and now - rt.cut >= S
         if rt.refused is None or rt.reported == 0:
             rt.headroom, rt.learned, rt.cut = HEADROOM, max(LEAST, rt.served.most(now)), now
             self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
@@ -279,6 +285,7 @@
         if wait:
             rt.wait = max(rt.wait, now + wait)
         self.rebook(now, rt, now < rt.wait)
+        return alone
 
     def slot(self, now, rt):
         """The second with room, its bookings; a cursor behind now moves to now, a full second steps on."""
@@ -308,7 +315,7 @@
         usable = [rt for rt in msg.dst.routes if any(self.allowed(host, msg) for host in rt.hosts)]
         for place, rt in enumerate(usable):
             second, used, riders = self.slot(now, rt)
-            back = min(host.aside for host in rt.hosts)
+            back = min(host.rest for host in rt.hosts)
             key = (max(now, second, back), (rt.calls + len(rt.held)) // LEVEL, place)
             if best is None or key < best[0]:
                 best = key, rt, second, used, riders
@@ -363,16 +370,6 @@
                 self.send(now, msg, rt, host)
             if msg.route is not rt:
                 self.push_head(heads, rt)
-        if self.lined and self.busy >= self.slots and self.terms.get("cancel"):
-            self.reclaim(now)
-
-    def reclaim(self, now):
-        """Takes back the slot of the longest overdue call: a guard against silence; may cut a slow one."""
-        for leg in self.legs.values():
-            if not leg.cut and now - leg.at > self.overdue(leg.host) and self.may_send(now, leg.msg):
-                leg.cut = True
-                self.acts.append(("cancel", leg.msg.name, leg.n))
-                return
 
     def push_head(self, heads, rt):
         while rt.line and (rt.line[0][2].route is not rt or rt.line[0][2].over):
@@ -392,8 +389,7 @@
         best = None
         free = self.slots - self.busy
         for place, host in enumerate(rt.hosts):
-            call = host.open_call
-            rides = call and call.at == now and call.size < rt.per_call and call.left
+            rides = self.rides(now, host)
             if not self.allowed(host, msg) or now < rt.wait:
                 continue
             if not rides and (rt.calls >= free or not self.ready(now, host)):
@@ -403,15 +399,17 @@
                 best = key, host
         return best and best[1]
 
+    def rides(self, now, host):
+        call = host.open_call
+        return call and call.at == now and call.size < host.route.per_call and call.left
+
     def ready(self, now, host):
-        """Whether a host may get a further call: not set aside, not quiet, and within its climb."""
-        if now < host.aside:
+        """Whether a host may get a further call: not at rest and not quiet."""
+        if now < host.rest:
+            self.at(host.rest, self.look)
             return False
-        if host.trial:      # one call at a time; those from before the set-aside may hang for long
+        if host.trial:      # those from before the set-aside may hang for long
             return not host.legs or next(reversed(host.legs.values())).at < host.aside
-        if host.climb is not None and now < host.climb_next:
-            self.at(host.climb_next, self.look)
-            return False
         first = next(iter(host.legs.values()), None)
         return not first or host.heard > first.at or now - first.at < self.patience(host) // 2
 
@@ -424,14 +422,10 @@
         what was learned from slow calls would let each dead one hold a slot for many seconds."""
         return min(max(LEAST_PATIENCE, PATIENCE * self.slow(host)), MOST_PATIENCE)
 
-    def overdue(self, host):
-        return max(LEAST_OVERDUE, OVERDUE * self.slow(host))
-
     def send(self, now, msg, rt, host):
         until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
-        call = host.open_call
-        if not (call and call.at == now and call.size < rt.per_call and call.left):
-            call = host.open_call = Call(host, now)
+        if not self.rides(now, host):
+            host.open_call = Call(host, now)
             self.busy, host.calls, rt.calls = self.busy + 1, host.calls + 1, rt.calls + 1
             second = now // S * S
             if second > rt.spent_from:
@@ -439,55 +433,65 @@
                 rt.spent_from, rt.spent = second, max(0.0, rt.spent - paid)
             rt.spent += 1
             if host.climb is not None:
-                self.step_climb(now, host)
-        call.size += 1
-        call.left += 1
+                host.rest = now + self.spacing(now, host)
+        call, n = host.open_call, msg.sent
+        call.size, call.left = call.size + 1, call.left + 1
         del rt.held[msg.name]
         msg.route, msg.last_host = None, host
-        leg = Leg(msg, msg.sent, host, now, until, call)
-        self.legs[(msg.name, msg.sent)] = host.legs[(msg.name, msg.sent)] = leg
+        self.legs[(msg.name, n)] = host.legs[(msg.name, n)] = Leg(msg, n, host, now, until, call)
         msg.first = msg.first if msg.first is not None else now
-        msg.sent += 1
-        msg.out += 1
+        msg.sent, msg.out = n + 1, msg.out + 1
         self.acts.append(("send", msg.name, host.name, until))
 
     # What returns.
 
-    def judge(self, now, host, ending, leg):
-        host.evidence = max(0.0, host.evidence + EVIDENCE.get(ending, 0.0))
+    def judge(self, now, host, ending, leg, alone):
+        """The sequential test on a host's outcomes; who fails is set aside, then tried one call at a time."""
+        weight = EVIDENCE.get(ending, 0.0)
         if ending == "delivered":
-            if host.trial:      # one that answered a moment ago was not out, it only lost some calls
-                host.trial, host.evidence, host.climb_next = False, 0.0, now
-                host.climb = now if now - host.heard > BRIEF else None
-                self.log(f"host {host.index}: returned, {(now - host.heard) // MS} ms after a delivery")
-            host.heard = now
-        elif host.evidence >= BOUND and ending in ("error", "reset"):
-            # It answers, if badly: some calls get through, so it goes on at the pace of a cold start. Guards
-            # against partial failure; where all calls fail it wastes a few legs that silence would save.
-            if host.climb is None:
-                self.log(f"host {host.index}: slowed on errors, evidence {host.evidence:.1f}")
-            host.climb, host.trial, host.evidence = now, False, BOUND
-            self.step_climb(now, host)
-        elif host.evidence >= BOUND and now >= host.aside and leg.at >= host.aside:
-            host.aside = now + ASIDE + int(self.draw(0, ASIDE / 2))
-            host.trial, host.climb = True, None
-            self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
-            self.at(host.aside, self.look)
-            if len(host.dst.routes) > 1:
-                self.rebook(now, host.route, True)
-
-    def step_climb(self, now, host):
-        """Spaces the sends to a host that was out: all relays together stay under the rule's multiple."""
-        cold = self.terms.get("cold", 10 * S)
-        if now >= host.climb + cold:
+            host.evidence = max(0.0, host.evidence + weight)
+            if host.trial:      # a short failure is no outage, it only lost some calls
+                host.trial, host.evidence, host.rest = False, 0.0, now
+                host.climb = now if host.out > BRIEF else None
+                self.log(f"host {host.index}: returned, failures over {host.out // MS} ms")
+            host.ill, host.heard, host.route.heard = None, now, now
+        elif weight and (alone or ending != "full"):
+            host.ill = now if host.ill is None else host.ill
+            host.evidence += weight
+            if host.evidence >= BOUND and leg.at >= host.aside:
+                # All relays that saw it fail try it again, and their tries alone can push it over: they are
+                # spaced like sends to a cold host. Harm: at many relays a small host is tried late.
+                self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
+                host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
+                spread = max(0, self.spacing(now, host) - ASIDE)
+                host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * spread)))
+                if len(host.dst.routes) > 1:
+                    self.rebook(now, host.route, True)
+
+    def keep_connection(self, host, ending):
+        """Where calls to a kind of host get lost, no connection is kept idle: a table that many relays fill
+        turns the rest away, and one dropped unseen loses the next call. Harm: a handshake a call."""
+        lost = ending in ("unreachable", "timeout", "reset", "cancelled")
+        share = self.lost.get(host.kind, 0.0)
+        self.lost[host.kind] = share = share + (lost - share) * LAG
+        if share > LOSSY and not host.calls:
+            self.acts.append(("close", host.name))
+
+    def spacing(self, now, host):
+        """Between this relay's sends to a host that was out: all relays together stay under the rule's
+        multiple of what it can do cold. Not every relay has seen the failure: those that have are about as
+        many as its messages since, so the time since the first failure bounds it too."""
+        since, cold, many = now - host.climb, self.terms.get("cold", 10 * S), len(host.route.hosts)
+        if since >= cold and not host.trial:
             host.climb = None
-            return
+            return 0
         start = self.terms.get("cold_from", 0.2)
-        share = start + (1 - start) * (now - host.climb) / cold
+        share = start if host.trial else start + (1 - start) * since / cold
         told = host.rate or host.route.reported
-        rate = (told / self.relays if told else max(LEAST, host.route.learned)) / len(host.route.hosts)
+        rate = (told / self.relays if told else max(LEAST, host.route.learned)) / many
         rate *= share * max(1.0, self.terms.get("overload", 1.0)) / (ROUGH if self.terms.get("rough") else 1)
-        host.climb_next = max(now, host.climb_next) + int(S / rate)
+        step = S / rate
+        return int(min(step, max(min(step, SPREAD * SPREAD * ASIDE) / SPREAD, SPREAD * host.out * many)))
 
     def may_send(self, when, msg):
         """Whether a further leg is allowed at that time."""
@@ -497,11 +501,6 @@
             return True
         return msg.lane.effect == "keyed" and when < msg.first + msg.lane.window - self.margin
 
-    def again(self, now, msg):
-        """A leg came back without success: a fresh booking, where the lane still allows one."""
-        msg.seq = 0
-        self.book(now, msg)
-
     def drop_late(self, now, msg):
         """Guards against sending what can no longer be delivered in time."""
         if msg.over or msg.out:
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -19,7 +19,7 @@
 `left` (share of the allowance) and `limit` (calls a second), or None.
 
 Actions: ("send", name, host, until)  ("cancel", name, n)  ("push back", name, stay_away)  ("fail", name)
-("wake", delay)  ("watch",)  ("log", text)
+("close", host)  ("wake", delay)  ("watch",)  ("log", text)
 
 Terms handed over at start, a plain map; any of them may be missing:
 
