A failure counts against all hosts of a destination; a part is no less than a send in ten seconds

All its hosts now rest together unless one delivered since; an unknown limit counts as one send a second of all relays together. Guards against any outage of a whole destination; a healthy host of a half-failed one rests with it until its own try.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -14,7 +14,7 @@
 MS = 1_000_000
 S = 1000 * MS
 HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.7, 60 * S   # the budget, as the design page has it
-LEAST = 1.0                                                 # sends a second that cuts leave all relays
+LEAST, PART = 1.0, 0.1                                      # a second: cuts leave all relays, each one's part
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
 MEMORY = 64                                                 # values before a histogram is halved
 USUAL = 100 * MS                                            # a call's time while none is known
@@ -249,10 +249,11 @@
     # Book: the cursor.
 
     def limit(self, rt):
-        """This relay's part of the listed or reported limit; else what was served when the refusal came."""
+        """This relay's part of the listed or reported limit, else what was served. PART is the least: who
+        cannot wait for a slot is pushed back, and relays not refused yet try it. Harm: all try too much."""
         listed = rt.hosts[0].rate
         told = listed if listed is not None else rt.reported
-        return told / self.relays if told else rt.learned
+        return max(PART, told / self.relays) if told else rt.learned
 
     def budget(self, now, rt):
         """Sends a second; None while only told waits bind."""
@@ -267,7 +268,7 @@
             clean = min(clean, rt.served.most(now))     # seconds without deliveries prove nothing
             rt.headroom = min(MOST, rt.headroom + GROWTH * clean)
             rt.learned *= (1 + GROWTH) ** clean
-        return max(0.05, rt.headroom * self.limit(rt))
+        return rt.headroom * self.limit(rt)
 
     def refusal(self, now, rt, wait):
         """Cuts the budget; tells whether nothing was delivered since the cut before: who is shut refuses all,
@@ -277,8 +278,7 @@
             rt.headroom, rt.learned, rt.cut = HEADROOM, max(LEAST, rt.served.most(now)), now
             self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
         elif now - rt.cut >= S:
-            least = LEAST / self.relays / max(0.01, self.limit(rt))
-            rt.headroom = max(rt.headroom * CUT, min(rt.headroom, least))
+            rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / self.relays / self.limit(rt)))
             rt.cut = now
         rt.refused = rt.grown = now
         rt.spent = min(rt.spent, max(1.0, self.budget(now, rt) or 1.0))
@@ -404,18 +404,14 @@
         return call and call.at == now and call.size < host.route.per_call and call.left
 
     def ready(self, now, host):
-        """Whether a host may get a further call: not at rest and not quiet."""
         if now < host.rest:
             self.at(host.rest, self.look)
             return False
-        if host.trial:      # those from before the set-aside may hang for long
-            return not host.legs or next(reversed(host.legs.values())).at < host.aside
         first = next(iter(host.legs.values()), None)
-        return not first or host.heard > first.at or now - first.at < self.patience(host) // 2
+        return not first or host.trial or host.heard > first.at or now - first.at < self.patience(host) // 2
 
     def slow(self, host):
-        lanes = self.lanes.values()
-        return host.times.quantile(0.9) or max((lane.calls.quantile(0.9) or 0 for lane in lanes), default=0)
+        return host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
 
     def patience(self, host):
         """A call's time-out. Its upper bound guards the slots where calls stay unanswered for whatever cause:
@@ -433,7 +429,7 @@
                 rt.spent_from, rt.spent = second, max(0.0, rt.spent - paid)
             rt.spent += 1
             if host.climb is not None:
-                host.rest = now + self.spacing(now, host)
+                host.rest = now + max(self.spacing(now, host), LEAST_PATIENCE * host.trial)
         call, n = host.open_call, msg.sent
         call.size, call.left = call.size + 1, call.left + 1
         del rt.held[msg.name]
@@ -446,27 +442,34 @@
     # What returns.
 
     def judge(self, now, host, ending, leg, alone):
-        """The sequential test on a host's outcomes; who fails is set aside, then tried one call at a time."""
-        weight = EVIDENCE.get(ending, 0.0)
+        """The sequential test on outcomes; who fails is set aside. Most outages take all of a destination's
+        hosts: a failure counts against those, too, that delivered nothing since. Harm: a good one rests."""
+        rt, weight = host.route, EVIDENCE.get(ending, 0.0)
         if ending == "delivered":
             host.evidence = max(0.0, host.evidence + weight)
             if host.trial:      # a short failure is no outage, it only lost some calls
                 host.trial, host.evidence, host.rest = False, 0.0, now
-                host.climb = now if host.out > BRIEF else None
+                host.climb = now if max(host.out, self.spacing(now, host)) > BRIEF else None
                 self.log(f"host {host.index}: returned, failures over {host.out // MS} ms")
-            host.ill, host.heard, host.route.heard = None, now, now
+            host.ill, host.heard, rt.heard = None, now, now
         elif weight and (alone or ending != "full"):
             host.ill = now if host.ill is None else host.ill
-            host.evidence += weight
-            if host.evidence >= BOUND and leg.at >= host.aside:
-                # All relays that saw it fail try it again, and their tries alone can push it over: they are
-                # spaced like sends to a cold host. Harm: at many relays a small host is tried late.
-                self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
-                host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
-                spread = max(0, self.spacing(now, host) - ASIDE)
-                host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * spread)))
-                if len(host.dst.routes) > 1:
-                    self.rebook(now, host.route, True)
+            for other in rt.hosts:
+                if other is host or rt.heard <= host.ill:
+                    other.evidence += weight
+                    if other.evidence >= BOUND and leg.at >= other.aside:
+                        self.set_aside(now, other, ending, host.ill)
+
+    def set_aside(self, now, host, ending, ill):
+        """All relays that saw it fail try it again, and their tries alone can push it over: they are spaced
+        like sends to a cold host. Harm: at many relays a small host is tried late."""
+        self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
+        host.ill = ill if host.ill is None else host.ill
+        host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
+        spread = max(0, self.spacing(now, host) - ASIDE)
+        host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * spread)))
+        if len(host.dst.routes) > 1:
+            self.rebook(now, host.route, True)
 
     def keep_connection(self, host, ending):
         """Where calls to a kind of host get lost, no connection is kept idle: a table that many relays fill
@@ -488,10 +491,10 @@
         start = self.terms.get("cold_from", 0.2)
         share = start if host.trial else start + (1 - start) * since / cold
         told = host.rate or host.route.reported
-        rate = (told / self.relays if told else max(LEAST, host.route.learned)) / many
+        rate = (told / self.relays if told else host.route.learned or LEAST / self.relays) / many
         rate *= share * max(1.0, self.terms.get("overload", 1.0)) / (ROUGH if self.terms.get("rough") else 1)
-        step = S / rate
-        return int(min(step, max(min(step, SPREAD * SPREAD * ASIDE) / SPREAD, SPREAD * host.out * many)))
+        least = min(S / rate / many, SPREAD * SPREAD * ASIDE) / SPREAD
+        return int(min(S / rate, many * max(least, SPREAD * host.out)))
 
     def may_send(self, when, msg):
         """Whether a further leg is allowed at that time."""
@@ -503,11 +506,9 @@
 
     def drop_late(self, now, msg):
         """Guards against sending what can no longer be delivered in time."""
-        if msg.over or msg.out:
-            return
         if now < self.late(msg):
             self.at(self.late(msg), self.drop_late, msg)
-        else:
+        elif not msg.out:
             self.end(now, msg)
 
     def end(self, now, msg):
