One send a second is the least part again, unless all is refused or reports tell of a limit

Cause: equal parts of a limit at 60 to 300 relays lie at a hundredth of a send a second, so a refused message had no slot before its deadline.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -249,18 +249,17 @@
     # Book: the cursor.
 
     def limit(self, rt):
-        """This relay's part of the listed or reported limit, else what was served. PART is the least: who
-        cannot wait for a slot is pushed back, and relays not refused yet try it. Harm: all try too much."""
-        listed = rt.hosts[0].rate
-        told = listed if listed is not None else rt.reported
-        return max(PART, told / self.relays) if told else rt.learned
+        """This relay's part of the listed or reported limit, else what was served. The least is one send a
+        second; where all is refused, or reports tell of a limit, PART. Harm: many relays may try too much."""
+        told = rt.hosts[0].rate if rt.hosts[0].rate is not None else rt.reported
+        least = PART if rt.strict or rt.reported is not None else LEAST
+        return max(least, told / self.relays) if told else rt.learned
 
     def budget(self, now, rt):
         """Sends a second; None while only told waits bind."""
-        if rt.refused is None or rt.reported == 0:
-            return None
-        if now - rt.refused > FORGET:
+        if rt.refused is not None and now - rt.refused > FORGET:
             rt.refused = None
+        if rt.refused is None or rt.reported == 0:
             return None
         clean = (now - rt.grown) // S
         if clean:
@@ -274,8 +273,9 @@
         """Cuts the budget; tells whether nothing was delivered since the cut before: who is shut refuses all,
         who is only full takes some. Harm: to one of many relays a far too small limit looks shut, too."""
         alone = rt.refused is not None and rt.cut > rt.heard and now - rt.cut >= S
+        rt.strict = rt.strict or alone
         if rt.refused is None or rt.reported == 0:
-            rt.headroom, rt.learned, rt.cut = HEADROOM, max(LEAST, rt.served.most(now)), now
+            rt.headroom, rt.learned, rt.cut, rt.strict = HEADROOM, max(LEAST, rt.served.most(now)), now, False
             self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
         elif now - rt.cut >= S:
             rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / self.relays / self.limit(rt)))
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -95,6 +95,7 @@
     learned: float = 0.0
     reported: float | None = None
     cut: int = 0
+    strict: bool = False                # it refused all for a second
     heard: int = 0                      # last delivered
     booked: float = 0.0                 # headroom under which the held ones were booked
     grown: int = 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -18,6 +18,8 @@
     (4.0, 2, None, 0, 1.6),         # listed, this relay's part
     (None, 2, 6.0, 0, 2.4),         # reported, this relay's part
     (None, 2, None, 5, 4.0),        # learned from what was served, not divided
+    (4.0, 300, None, 0, 0.8),       # one send a second is the least
+    (4.0, 300, 4.0, 0, 0.08),       # but where a report tells of the limit
 ])
 def test_budget_after_first_refusal(rate, relays, report, served, expected):
     relay = Relay(hosts=[("a", rate)], relays=relays)
