Unmeasured hosts stand by their area; a route is chosen by calls out, not by what is held

A host never measured now stands by its area's usual time, but in the relay's own area comes first. Guards against any slow area.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -41,7 +41,7 @@
         self.acts, self.agenda, self.ticket, self.armed = [], [], 0, None
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
-        self.routes, self.measured, self.lost = [], {}, {}
+        self.routes, self.measured, self.lost, self.areas = [], {}, {}, {}
         self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
@@ -121,10 +121,11 @@
         alone = ending == "full" and self.refusal(now, rt, wait)
         if ending == "delivered":
             host.times.add(took)
+            self.areas.setdefault(host.area, Histogram(EDGES, MEMORY)).add(took)
             msg.lane.calls.add(took)
             rt.served.add(now)
-        self.measured[msg.dst.index] = msg.dst
         self.keep_connection(host, ending)
+        self.measured[msg.dst.index] = msg.dst
         self.judge(now, host, ending, leg, alone)
         if over:
             self.finish(now, msg)
@@ -191,10 +192,14 @@
         return host
 
     def rank(self, now):
-        """The timer that renews the order in which a destination's hosts, and its routes, are filled."""
+        """The timer that renews the order in which a destination's hosts, and its routes, are filled. Who was
+        not measured stands by its area, but in the relay's own comes first. Harm: a fast far one waits."""
         def standing(host):
-            return host.evidence >= BOUND / 2, host.times.quantile(0.5) or 0, host.index
-        for dst in list(self.measured.values()):    # only where something came back since the last time
+            near = host.area == self.terms.get("area")
+            usual = host.times if near else self.areas.get(host.area, host.times)
+            slow = host.times.quantile(0.5) or usual.quantile(0.5) or 0
+            return host.evidence >= BOUND / 2, slow, host.index
+        for dst in self.measured.values():      # only where something came back since the last time
             for rt in dst.routes:
                 rt.hosts.sort(key=standing)
             dst.routes.sort(key=lambda rt: standing(rt.hosts[0]))
@@ -251,9 +256,9 @@
     def limit(self, rt):
         """This relay's part of the listed or reported limit, else what was served. The least is one send a
         second; where all is refused, or reports tell of a limit, PART. Harm: many relays may try too much."""
-        told = rt.hosts[0].rate if rt.hosts[0].rate is not None else rt.reported
+        told = rt.reported if rt.hosts[0].rate is None else rt.hosts[0].rate
         least = PART if rt.strict or rt.reported is not None else LEAST
-        return max(least, told / self.relays) if told else rt.learned
+        return max(min(least, told), told / self.relays) if told else rt.learned
 
     def budget(self, now, rt):
         """Sends a second; None while only told waits bind."""
@@ -282,8 +287,7 @@
             rt.cut = now
         rt.refused = rt.grown = now
         rt.spent = min(rt.spent, max(1.0, self.budget(now, rt) or 1.0))
-        if wait:
-            rt.wait = max(rt.wait, now + wait)
+        rt.wait = max(rt.wait, now + wait if wait else 0)
         self.rebook(now, rt, now < rt.wait)
         return alone
 
@@ -316,12 +320,11 @@
         for place, rt in enumerate(usable):
             second, used, riders = self.slot(now, rt)
             back = min(host.rest for host in rt.hosts)
-            key = (max(now, second, back), (rt.calls + len(rt.held)) // LEVEL, place)
+            key = (max(now, second, back), rt.calls // LEVEL, place)
             if best is None or key < best[0]:
                 best = key, rt, second, used, riders
         if best is None:
-            msg.dst.stranded.append(msg)
-            return
+            return msg.dst.stranded.append(msg)
         _, rt, second, used, riders = best
         due = self.place(now, rt, second, used) if riders else max(now, second)
         too_long = msg.over_share and due > now + msg.lane.target
@@ -333,10 +336,7 @@
         msg.seq = msg.seq or self.ticket
         msg.due, msg.route = due, rt
         rt.held[msg.name] = msg
-        if due <= now:
-            self.fall_due(now, msg, rt, due)
-        else:
-            self.at(due, self.fall_due, msg, rt, due)
+        self.at(due, self.fall_due, msg, rt, due)
 
     def rebook(self, now, rt, due_too=False):
         """Books anew what a route holds, in its order; what has a slot already keeps it but where told."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -346,3 +346,16 @@
         acts += relay.tell("take", f"c{n}", "d", "retriable", relay.now + 16 * S, None, "c", False)
     assert {act[1] for act in named(acts, "push back")} == {"c12", "c13"}
     assert not relay.tell("take", "d0", "d", "retriable", relay.now + 16 * S, None, "d", False)
+
+
+@pytest.mark.parametrize("own, first", [("z", "a"), ("y", "b")])
+def test_unmeasured_hosts_stand_by_what_their_area_has_shown(own, first):
+    relay = Relay(hosts=[], area=own)
+    entries = [(n, "ready", n == "b" and "y" or "z", 9.0, "apart", "d") for n in "ab"]
+    entries += [("c", "ready", "z", 9.0, "plain", "c"), ("e", "ready", "y", 9.0, "plain", "e")]
+    relay.tell("roster", "full", entries)
+    for host, took in (("c", 200 * MS), ("e", 400 * MS)):
+        relay.back(relay.take(dst=host)[0], "delivered", host=host, took=took)
+    relay.relay.measured[0] = relay.relay.dsts["d"]
+    relay.run(1100 * MS)
+    assert named(relay.take()[1], "send")[0][2] == first
