Refusals with nothing delivered for a second set a host aside, also where the limit reads nought

The time of the last cut moved with every refusal, so a second of refusals was never seen. One such second now sets aside. Guards against shut destinations and full queues of any cause; to a relay with few calls a small limit looks alike.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -20,7 +20,7 @@
 USUAL = 100 * MS                                            # a call's time while none is known
 NEVER_RAN = ("full", "unreachable", "unsent")
 # The sequential test: what an outcome adds to the evidence against a host, and the bound that sets it aside.
-EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 4.5, "full": 2.3}
+EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 4.5, "full": 4.5}
 BOUND = 4.5
 BRIEF = 3 * S                                               # a shorter silence is no outage
 ASIDE = 1 * S                                               # set aside for so long, and up to half more
@@ -103,8 +103,7 @@
         leg = self.legs.pop((name, n), None)
         if leg is None:
             return self.said()
-        msg, host, call = leg.msg, leg.host, leg.call
-        rt = host.route
+        msg, host, call, rt = leg.msg, leg.host, leg.call, leg.host.route
         del host.legs[(name, n)]
         msg.out -= 1
         call.left -= 1
@@ -277,14 +276,15 @@
     def refusal(self, now, rt, wait):
         """Cuts the budget; tells whether nothing was delivered since the cut before: who is shut refuses all,
         who is only full takes some. Harm: to one of many relays a far too small limit looks shut, too."""
-        alone = rt.refused is not None and rt.cut > rt.heard and now - rt.cut >= S
-        rt.strict = rt.strict or alone
+        fresh = rt.refused is None or now - rt.cut >= S
+        alone = fresh and rt.refused is not None and rt.cut > rt.heard
         if rt.refused is None or rt.reported == 0:
-            rt.headroom, rt.learned, rt.cut, rt.strict = HEADROOM, max(LEAST, rt.served.most(now)), now, False
-            self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
-        elif now - rt.cut >= S:
+            rt.headroom, rt.learned = HEADROOM, max(LEAST, rt.served.most(now))
+            if fresh:
+                self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
+        elif fresh:
             rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / self.relays / self.limit(rt)))
-            rt.cut = now
+        rt.cut, rt.strict = now if fresh else rt.cut, alone or rt.strict and rt.refused is not None
         rt.refused = rt.grown = now
         rt.spent = min(rt.spent, max(1.0, self.budget(now, rt) or 1.0))
         rt.wait = max(rt.wait, now + wait if wait else 0)
@@ -327,8 +327,8 @@
             return msg.dst.stranded.append(msg)
         _, rt, second, used, riders = best
         due = self.place(now, rt, second, used) if riders else max(now, second)
-        too_long = msg.over_share and due > now + msg.lane.target
-        if due >= self.late(msg) or too_long or not self.may_send(due, msg):
+        last = min(self.late(msg), now + msg.lane.target if msg.over_share else self.late(msg))
+        if due >= last or not self.may_send(due, msg):
             self.end(now, msg)
             return
         rt.second, rt.used, rt.riders = second, used, riders
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -225,12 +225,15 @@
     assert named(acts, "send") and not host.trial and (host.climb is not None) == climbs
 
 
-@pytest.mark.parametrize("delivered, aside", [(False, True), (True, False)])
-def test_who_refuses_all_is_set_aside_and_who_refuses_some_is_not(delivered, aside):
+@pytest.mark.parametrize("delivered, reported, step, aside", [
+    (False, None, 1100, True), (True, None, 1100, False), (False, 0.0, 200, True), (True, 0.0, 200, False),
+])
+def test_who_refuses_all_is_set_aside_and_who_refuses_some_is_not(delivered, reported, step, aside):
     relay = Relay()
     d, host = relay.relay, relay.relay.hosts["a"]
-    for _ in range(4):
-        relay.now += 1100 * MS
+    host.route.reported = reported
+    for _ in range(12):
+        relay.now += step * MS
         leg = Leg(None, 0, host, relay.now, 0, None)
         if delivered:
             d.judge(relay.now, host, "delivered", leg, False)
