Time-outs are halved where calls to a kind of host get lost

The share of lost calls that closes connections now halves time-outs too. Guards against any silence spread over many hosts; where calls are lost and slow at once some run twice.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -30,7 +30,7 @@
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 SMOOTH = 0.1                                                # weight of a new reported limit
-LOSSY, LAG = 0.1, 0.05                                      # so many calls lost: connections are not kept
+LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 ROUGH = 1.5                                                 # a rough rate may be so many times too high
 
 
@@ -414,9 +414,10 @@
         return host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
 
     def patience(self, host):
-        """A call's time-out. Its upper bound guards the slots where calls stay unanswered for whatever cause:
-        what was learned from slow calls would let each dead one hold a slot for many seconds."""
-        return min(max(LEAST_PATIENCE, PATIENCE * self.slow(host)), MOST_PATIENCE)
+        """A call's time-out. Its upper bound and its halving where calls get lost guard the slots, and the
+        target time, against calls left unanswered for whatever cause. Harm: a slow call may run twice."""
+        haste = HASTE if self.lost.get(host.kind, 0.0) > LOSSY else 1
+        return min(max(LEAST_PATIENCE, PATIENCE * self.slow(host)), MOST_PATIENCE) // haste
 
     def send(self, now, msg, rt, host):
         until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
@@ -481,9 +482,8 @@
             self.acts.append(("close", host.name))
 
     def spacing(self, now, host):
-        """Between this relay's sends to a host that was out: all relays together stay under the rule's
-        multiple of what it can do cold. Not every relay has seen the failure: those that have are about as
-        many as its messages since, so the time since the first failure bounds it too."""
+        """Between this relay's sends to a host that was out: all relays together stay under the
+        rule's multiple of what it can do cold. Who had no message saw nothing: the time out bounds it too."""
         since, cold, many = now - host.climb, self.terms.get("cold", 10 * S), len(host.route.hosts)
         if since >= cold and not host.trial:
             host.climb = None
