--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -3,13 +3,13 @@
 import traceback
 
 from courseroute.decide import Dispatcher
+from courseroute.model.terms import terms_of, truth
 
 US = 1000
 ENDINGS = {
     "delivered": "delivered", "app_error": "error", "shed": "full", "expired": "timeout",
     "dial_failed": "unreachable", "dropped": "reset", "revoked": "cancelled", "unused": "unsent",
 }
-EFFECTS = {"pure": "retriable", "token": "keyed", "side_effect": "non-retriable"}
 STATES = {"0": "draining", "1": "ready", "2": "gone"}
 SCOPES = {"0": "changes", "1": "full", "2": "saved", "3": "failed"}
 
@@ -29,10 +29,6 @@
     return parts[0], found
 
 
-def truth(text):
-    return text in ("1", "true")
-
-
 def need(found, name, kind=str):
     try:
         return kind(found[name])
@@ -42,61 +38,6 @@
         raise Malformed(f"field {name} is no {kind.__name__}: {found[name][:60]!r}") from None
 
 
-def terms_of(told):
-    """The settings under the module's own names; times in nanoseconds. What is absent stays absent."""
-    terms = {}
-
-    def carry(name, path, convert):
-        if path in told:
-            terms[name] = convert(told[path])
-
-    def span(text):
-        return int(text) * US
-
-    for name, path, convert in (
-        ("relays", "balancers", int), ("number", "me", int), ("area", "zone", str),
-        ("slots", "family-info.call-slots", int),
-        ("room", "permissions.open-cap", int), ("legs", "permissions.send-cap", int),
-        ("cancel", "permissions.cancel", truth), ("copies", "permissions.parallel-tries", truth),
-        ("stay_away", "permissions.max-retry-after", span), ("tick", "tick", span),
-        ("drain_grace", "safety.stop-sending-within", span), ("ask_within", "safety.ask-within", span),
-        ("cold", "safety.cold", span), ("cold_from", "safety.cold-from", float),
-        ("overload", "safety.overload-factor", float), ("fall", "safety.fall", span),
-        ("turn_gap", "safety.turn-gap", span), ("over_share", "over-share-worth", float),
-    ):
-        carry(name, path, convert)
-    terms["ask"] = told.get("discovery") == "on_request"
-    terms["rough"] = told.get("weight-source") == "rough"
-    terms["listed_rates"] = told.get("weight-source", "none") != "none"
-    if not truth(told.get("permissions.retry-after", "true")):
-        terms["stay_away"] = 0
-    kinds = [kind for kind in told.get("kinds", "").split(",") if kind]
-    apart = told.get("family-info.routes-apart", "").split(",")
-    per_call = told.get("family-info.per-call", "").split(",")
-    terms["kinds"] = {
-        kind: {"apart": truth(apart[i]) if i < len(apart) else False,
-               "per_call": int(per_call[i] or 1) if i < len(per_call) else 1}
-        for i, kind in enumerate(kinds)
-    }
-    terms["customers"] = {}
-    for i in range(int(told.get("parties.count", 0))):
-        base = f"parties.{i}."
-        if base + "quota-per-s" in told:
-            terms["customers"][told.get(base + "name", "")] = float(told[base + "quota-per-s"])
-    terms["lanes"] = {}
-    for i in range(int(told.get("grades.count", 0))):
-        lane = {}
-        for name, key, convert in (
-            ("target", "objective", span), ("deadline", "deadline", span), ("group", "group", str),
-            ("effect", "effect", lambda text: EFFECTS.get(text, "non-retriable")), ("window", "window", span),
-            ("value", "worth", float), ("late_value", "late-value", float), ("ordered", "by-arrival", truth),
-        ):
-            if f"grades.{i}.{key}" in told:
-                lane[name] = convert(told[f"grades.{i}.{key}"])
-        terms["lanes"][told.get(f"grades.{i}.name", "")] = lane
-    return terms
-
-
 def report_of(text):
     if not text or text == "-":
         return None
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -8,6 +8,7 @@
 import heapq
 import random
 
+from courseroute.model.agenda import Agenda
 from courseroute.model.histogram import Histogram, Meter
 from courseroute.model.types import Call, Destination, Host, Lane, Leg, Message, Route, Turn
 
@@ -32,17 +33,24 @@
 SMOOTH = 0.1                                                # weight of a new reported limit
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 ROUGH = 1.5                                                 # a rough rate may be so many times too high
+WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3200 * MS     # watches in ask_within; from the word to stop on
+# The relay's house: shares of its descriptors, memory and disk, then sizes, then times.
+HOUSE = {
+    "client_connections": 0.5, "host_connections": 0.3, "half_read": 0.1, "held": 0.25, "live": 0.4,
+    "log": 0.55, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "ends": 2048, "idle": 60 * S,
+    "idle_share": 0.8, "read_within": 5 * S, "write_within": 2 * S, "list_within": 2 * S, "sweep": S // 2,
+    "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5}
 
 
-class Dispatcher:
+class Dispatcher(Agenda):
     def __init__(self, seed, terms):
+        super().__init__()
         self.terms = terms
         self.draw = random.Random(seed).uniform
-        self.acts, self.agenda, self.ticket, self.armed = [], [], 0, None
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
         self.routes, self.measured, self.lost, self.areas = [], {}, {}, {}
-        self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
+        self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
         self.phase = (terms.get("number") or 0) % self.relays / self.relays
@@ -76,14 +84,19 @@
                 if rt.held and not any(host.listed for host in rt.hosts):
                     self.rebook(now, rt, True)
             stranded, dst.stranded = dst.stranded, []
-            for msg in stranded:
-                if not msg.over:
-                    self.book(now, msg)
+            for msg in (msg for msg in stranded if not msg.over):
+                self.book(now, msg)
         return self.said()
 
-    def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False):
+    def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
+        """`legs` are those of an earlier life: (host, sent at, ending); one still out then may have run."""
         lane = self.lanes.get(lane) or self.lanes.setdefault(lane, Lane(lane, calls=Histogram(EDGES, MEMORY)))
         msg = self.open[name] = Message(name, self.destination(where), lane, deadline, key, customer, again)
+        doubtful, msg.sent = [leg for leg in legs if leg[2] not in NEVER_RAN], len(legs)
+        if doubtful:
+            msg.first, msg.ran, msg.last_host = doubtful[0][1], True, self.hosts.get(doubtful[-1][0])
+            if msg.key and msg.lane.ordered:
+                self.turns.setdefault(msg.key, Turn()).rest = now + self.terms.get("turn_gap", 0)
         self.at(deadline - self.margin, self.end, msg)
         self.at(self.late(msg), self.drop_late, msg)
         if self.admit(now, msg) and self.turn(now, msg):
@@ -95,6 +108,22 @@
             self.finish(now, self.open[name])
         return self.said()
 
+    def may_leave(self, now, name, n):
+        """Asked when a call's connection is up: a wait, or a drain, may have been told since it was sent."""
+        leg = self.legs.get((name, n))
+        return leg is not None and not leg.msg.over and leg.host.listed and now >= leg.host.route.wait
+
+    def stop(self, now):
+        """What can't be sent before the end is given back to other relays, where that is harmless."""
+        self.closing = now + LAST_SEND
+        self.at(self.closing, self.give_back)
+        self.at(now + LEAVE, lambda now: self.acts.append(("exit",)))
+        return self.said()
+
+    def give_back(self, now):
+        for msg in [msg for msg in self.open.values() if not msg.out and self.harmless(now, msg)]:
+            self.end(now, msg)
+
     def wake(self, now):
         self.armed = None
         return self.said()
@@ -105,8 +134,7 @@
             return self.said()
         msg, host, call, rt = leg.msg, leg.host, leg.call, leg.host.route
         del host.legs[(name, n)]
-        msg.out -= 1
-        call.left -= 1
+        msg.out, call.left = msg.out - 1, call.left - 1
         if not call.left:
             self.busy, host.calls, rt.calls = self.busy - 1, host.calls - 1, rt.calls - 1
         if ending in ("timeout", "reset", "cancelled") and msg.key and msg.lane.ordered:
@@ -136,34 +164,15 @@
         return self.said()
 
     def settle(self, now):
-        while self.agenda and self.agenda[0][0] <= now:
-            _, _, what, told = heapq.heappop(self.agenda)
-            what(now, *told)
+        self.run_due(now)
         self.release(now)
-        if self.agenda and (self.armed is None or self.agenda[0][0] < self.armed):
-            self.armed = self.agenda[0][0]
-            self.acts.append(("wake", self.armed - now))
+        self.arm(now)
         return self.said()
 
-    def said(self):
-        acts, self.acts = self.acts, []
-        return acts
-
-    def at(self, when, what, *told):
-        self.ticket += 1
-        heapq.heappush(self.agenda, (when, self.ticket, what, told))
-
-    def look(self, now):
-        """A wake-up for the one release that closes the batch; releasing here would breed more."""
-
-    def log(self, text):
-        self.acts.append(("log", text))
-
     def watch(self, now, ask):
-        """Asks for the list until it is told, well inside the time after which silence counts as told. Only
-        the newest ask planned is made: a directory that fails for long must not be asked ever more often."""
+        """Asks until it is told; only the newest ask planned is made: no storm on a directory that fails."""
         if ask == self.asks and self.watched is None:
-            self.acts.append(("watch",))
+            self.acts.append(("watch", self.terms.get("ask_within", 10 * S) // WATCHES))
             self.plan_watch(now, self.terms.get("ask_within", 10 * S) / 3)
 
     def plan_watch(self, now, wait):
@@ -174,9 +183,7 @@
         return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
 
     def destination(self, where):
-        if where not in self.dsts:
-            self.dsts[where] = Destination(len(self.dsts))
-        return self.dsts[where]
+        return self.dsts.setdefault(where, Destination(len(self.dsts)))
 
     def join(self, name, kind, where):
         dst = self.destination(where)
@@ -191,8 +198,7 @@
         return host
 
     def rank(self, now):
-        """The timer that renews the order in which a destination's hosts, and its routes, are filled. Who was
-        not measured stands by its area, but in the relay's own comes first. Harm: a fast far one waits."""
+        """The timer that renews the order of hosts and routes; who was not measured stands by its area."""
         def standing(host):
             near = host.area == self.terms.get("area")
             usual = host.times if near else self.areas.get(host.area, host.times)
@@ -247,14 +253,13 @@
             del self.turns[key]
         elif turn and turn.line and now >= turn.rest:
             first = turn.line[0]
-            if not (first.over or first.route or first.sent or first in first.dst.stranded):
+            if not (first.over or first.route or first.out or first in first.dst.stranded):
                 self.book(now, first)
 
     # Book: the cursor.
 
     def limit(self, rt):
-        """This relay's part of the listed or reported limit, else what was served. The least is one send a
-        second; where all is refused, or reports tell of a limit, PART. Harm: many relays may try too much."""
+        """This relay's part of the listed or reported limit, else what was served; one send at the least."""
         told = rt.reported if rt.hosts[0].rate is None else rt.hosts[0].rate
         least = PART if rt.strict or rt.reported is not None else LEAST
         return max(min(least, told), told / self.relays) if told else rt.learned
@@ -265,8 +270,7 @@
             rt.refused = None
         if rt.refused is None or rt.reported == 0:
             return None
-        clean = (now - rt.grown) // S
-        if clean:
+        if clean := (now - rt.grown) // S:
             rt.grown += clean * S
             clean = min(clean, rt.served.most(now))     # seconds without deliveries prove nothing
             rt.headroom = min(MOST, rt.headroom + GROWTH * clean)
@@ -274,8 +278,7 @@
         return rt.headroom * self.limit(rt)
 
     def refusal(self, now, rt, wait):
-        """Cuts the budget; tells whether nothing was delivered since the cut before: who is shut refuses all,
-        who is only full takes some. Harm: to one of many relays a far too small limit looks shut, too."""
+        """Cuts the budget; tells if nothing was delivered since the last cut: who is shut refuses all."""
         fresh = rt.refused is None or now - rt.cut >= S
         alone = fresh and rt.refused is not None and rt.cut > rt.heard
         if rt.refused is None or rt.reported == 0:
@@ -328,9 +331,9 @@
         _, rt, second, used, riders = best
         due = self.place(now, rt, second, used) if riders else max(now, second)
         last = min(self.late(msg), now + msg.lane.target if msg.over_share else self.late(msg))
+        last = min(last, self.closing) if self.harmless(now, msg) else last
         if due >= last or not self.may_send(due, msg):
-            self.end(now, msg)
-            return
+            return self.end(now, msg)
         rt.second, rt.used, rt.riders = second, used, riders
         self.ticket += 1
         msg.seq = msg.seq or self.ticket
@@ -359,6 +362,8 @@
 
     def release(self, now):
         heads = []
+        if now >= self.closing:
+            return
         for rt in list(self.lined.values()):
             self.push_head(heads, rt)
         while heads:
@@ -383,7 +388,7 @@
 
     def allowed(self, host, msg):
         bound = msg.first is not None and msg.lane.effect == "keyed" and msg.lane.group == "zone"
-        return host.listed and not (bound and host.area != msg.last_host.area)
+        return host.listed and not (bound and host.area != (msg.last_host and msg.last_host.area))
 
     def pick(self, now, rt, msg):
         best = None
@@ -405,19 +410,16 @@
 
     def ready(self, now, host):
         if now < host.rest:
-            self.at(host.rest, self.look)
+            self.at(host.rest, int)     # only wakes: the release that closes the batch does the rest
             return False
         first = next(iter(host.legs.values()), None)
         return not first or host.trial or host.heard > first.at or now - first.at < self.patience(host) // 2
 
-    def slow(self, host):
-        return host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
-
     def patience(self, host):
-        """A call's time-out. Its upper bound and its halving where calls get lost guard the slots, and the
-        target time, against calls left unanswered for whatever cause. Harm: a slow call may run twice."""
+        """A call's time-out; its bound, and its halving where calls get lost, guard slots and target time."""
         haste = HASTE if self.lost.get(host.kind, 0.0) > LOSSY else 1
-        return min(max(LEAST_PATIENCE, PATIENCE * self.slow(host)), MOST_PATIENCE) // haste
+        slow = host.times.quantile(0.9) or max(lane.calls.quantile(0.9) or 0 for lane in self.lanes.values())
+        return min(max(LEAST_PATIENCE, PATIENCE * slow), MOST_PATIENCE) // haste
 
     def send(self, now, msg, rt, host):
         until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
@@ -440,11 +442,8 @@
         msg.sent, msg.out = n + 1, msg.out + 1
         self.acts.append(("send", msg.name, host.name, until))
 
-    # What returns.
-
     def judge(self, now, host, ending, leg, alone):
-        """The sequential test on outcomes; who fails is set aside. Most outages take all of a destination's
-        hosts: a failure counts against those, too, that delivered nothing since. Harm: a good one rests."""
+        """The sequential test; most outages take all hosts of a destination: a failure counts against all."""
         rt, weight = host.route, EVIDENCE.get(ending, 0.0)
         if ending == "delivered":
             host.evidence = max(0.0, host.evidence + weight)
@@ -462,8 +461,7 @@
                         self.set_aside(now, other, ending, host.ill)
 
     def set_aside(self, now, host, ending, ill):
-        """All relays that saw it fail try it again, and their tries alone can push it over: they are spaced
-        like sends to a cold host. Harm: at many relays a small host is tried late."""
+        """All relays that saw it fail try it again, and their tries can push it over: they are spaced."""
         self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
         host.ill = ill if host.ill is None else host.ill
         host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
@@ -473,8 +471,7 @@
             self.rebook(now, host.route, True)
 
     def keep_connection(self, host, ending):
-        """Where calls to a kind of host get lost, no connection is kept idle: a table that many relays fill
-        turns the rest away, and one dropped unseen loses the next call. Harm: a handshake a call."""
+        """Where calls to a kind get lost none is kept idle: for full tables, and those dropped unseen."""
         lost = ending in ("unreachable", "timeout", "reset", "cancelled")
         share = self.lost.get(host.kind, 0.0)
         self.lost[host.kind] = share = share + (lost - share) * LAG
@@ -482,8 +479,7 @@
             self.acts.append(("close", host.name))
 
     def spacing(self, now, host):
-        """Between this relay's sends to a host that was out: all relays together stay under the
-        rule's multiple of what it can do cold. Who had no message saw nothing: the time out bounds it too."""
+        """Between sends to a host that was out: all relays together stay under the rule's multiple."""
         since, cold, many = now - host.climb, self.terms.get("cold", 10 * S), len(host.route.hosts)
         if since >= cold and not host.trial:
             host.climb = None
@@ -497,7 +493,6 @@
         return int(min(S / rate, many * max(least, SPREAD * host.out)))
 
     def may_send(self, when, msg):
-        """Whether a further leg is allowed at that time."""
         if msg.sent >= self.terms.get("legs", 1 << 30):
             return False
         if msg.lane.effect == "retriable" or msg.first is None:
@@ -511,14 +506,16 @@
         elif not msg.out:
             self.end(now, msg)
 
+    def harmless(self, now, msg):
+        lane = msg.lane
+        return msg.first is None or lane.effect == "retriable" or (
+            lane.effect == "keyed" and lane.group == "all" and self.may_send(now, msg))
+
     def end(self, now, msg):
         """The one final answer: pushed back where trying again is harmless, failed else."""
         if msg.over:
             return
-        lane = msg.lane
-        harmless = msg.first is None or lane.effect == "retriable" or (
-            lane.effect == "keyed" and lane.group == "all" and self.may_send(now, msg))
-        if harmless:
+        if self.harmless(now, msg):
             stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=0)
             self.acts.append(("push back", msg.name, max(0, min(stay, self.terms.get("stay_away", 0)))))
         else:
--- /dev/null
+++ b/courseroute/run/relay.py
@@ -0,0 +1,118 @@
+"""One relay from start to exit."""
+import enum
+import signal
+import time
+
+import trio
+
+from courseroute.decide import HOUSE, Dispatcher
+from courseroute.run.logbook import say
+from courseroute.state.desk import Desk
+from courseroute.state.log import Log
+from courseroute.state.pool import Pool
+from courseroute.wire.clients import Clients
+from courseroute.wire.discovery import Discovery, Watch
+from courseroute.wire.hosts import Hosts
+from courseroute.wire.notices import Notices
+from courseroute.wire.words import roster_of
+
+
+class Phase(enum.Enum):
+    STARTING = "starting"           # nothing is open yet
+    RECOVERING = "recovering"       # the log is read back, the module decides on what it holds
+    SERVING = "serving"
+    LEAVING = "leaving"             # told to stop: still serves, takes on what can still go out
+    CLOSING = "closing"             # no new calls; what is being answered is answered
+    ENDED = "ended"
+
+
+class Relay:
+    def __init__(self, told):
+        self.told, self.phase = told, Phase.STARTING
+        offset = time.time_ns() - time.monotonic_ns()       # Unix time that never steps back
+        self.clock = lambda: time.monotonic_ns() + offset
+        self.alarm_at, self.alarm_set, self.left = None, trio.Event(), trio.Event()
+
+    def enter(self, phase, **figures):
+        self.phase = phase
+        say("phase", phase=phase.value, **figures)
+
+    async def run(self):
+        told, house, terms = self.told, HOUSE, self.told["terms"]
+        log = Log(told["state"], told["disk"], house["live"], house["log"])
+        dispatcher = Dispatcher(told["seed"], terms)
+        self.desk = desk = Desk(dispatcher, terms, house, log, told["memory"], self.clock, say)
+        listener = trio.socket.socket()
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await listener.bind(told["listen"])
+        async with trio.open_nursery() as nursery:
+            pool = Pool(int(told["sockets"] * house["host_connections"]),
+                        terms.get("idle_close", house["idle"]) * house["idle_share"], time.monotonic_ns)
+            desk.hosts = Hosts(nursery, desk, pool, house, terms, self.clock, say)
+            desk.notices = Notices(desk, house, told["discovery"], say)
+            watch = Watch(terms["listed_rates"], None)
+            desk.discovery = Discovery(desk, desk.hosts, house, told["discovery"], watch, say)
+            desk.alarm, desk.leave = self.set_alarm, self.left.set
+            self.enter(Phase.RECOVERING)
+            desk.tell("start")
+            if told["known"]:
+                watch.index, _, entries, where = roster_of(told["known"], terms["listed_rates"])
+                desk.discovery.learn("saved", entries, where)
+            desk.recover()
+            self.clients = Clients(desk, house, listener, int(told["sockets"] * house["client_connections"]),
+                                   int(told["memory"] * house["half_read"]), say)
+            listener.listen(1024)
+            desk.ready = True
+            self.enter(Phase.SERVING, restored=len(desk.held), owed=len(desk.owed))
+            for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms,
+                         self.stop_on_signal):
+                nursery.start_soon(task)
+            nursery.start_soon(self.sweep, pool)
+            await self.left.wait()
+            await self.close(listener)
+            nursery.cancel_scope.cancel()
+        log.close()
+        self.enter(Phase.ENDED, held=len(desk.held), owed=len(desk.owed))
+
+    async def close(self, listener):
+        """None is left unanswered: what is being read is answered, with 503 by now."""
+        self.desk.ready = False
+        self.enter(Phase.CLOSING, held=len(self.desk.held), clients=len(self.clients.open))
+        self.clients.close_idle()
+        with trio.move_on_after(HOUSE["last_words"] / 1e9):
+            while self.clients.open or self.desk.owed:
+                await trio.sleep(HOUSE["last_words"] / 2e10)
+        listener.close()
+
+    async def stop_on_signal(self):
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                if self.phase is Phase.SERVING:
+                    self.enter(Phase.LEAVING, held=len(self.desk.held))
+                    self.desk.tell("stop")
+                    self.clients.close_idle()
+
+    def set_alarm(self, delay):
+        self.alarm_at = self.clock() + delay
+        self.alarm_set.set()
+
+    async def alarms(self):
+        while True:
+            self.alarm_set = trio.Event()
+            left = self.alarm_at - self.clock() if self.alarm_at else HOUSE["idle"]
+            with trio.move_on_after(max(0, left) / 1e9):
+                await self.alarm_set.wait()
+                continue
+            if self.alarm_at and self.clock() >= self.alarm_at:
+                self.alarm_at = None
+                self.desk.tell("wake")
+
+    async def sweep(self, pool):
+        while True:
+            await trio.sleep(HOUSE["sweep"] / 1e9)
+            pool.sweep()
+
+
+def main(told):
+    trio.run(Relay(told).run)
+    return 0
--- /dev/null
+++ b/courseroute/state/desk.py
@@ -0,0 +1,256 @@
+"""The messages held, and the one place where the module is told and what it answers is done.
+
+A message is written to the log before its 202, a call before it leaves, an end as soon as it is known.
+What the module decides for a message not promised yet becomes the answer to its client; later a notice.
+"""
+from collections import OrderedDict, deque
+
+from courseroute.state import log as records
+from courseroute.state.log import Full, record
+from courseroute.wire import words
+
+OVERHEAD = 512      # of a message in the log beside its body: its fields, and those of its legs
+
+
+class Held:
+    __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "promised",
+                 "legs", "ending", "size")
+
+    def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again):
+        self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
+        self.mark, self.key, self.customer, self.again = mark, key, customer, again
+        self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
+        self.size = len(body) + OVERHEAD
+
+    def record(self):
+        return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
+                                      self.customer, self.again], self.body)
+
+    def records(self):
+        return [self.record(), *(record(records.CALL, [self.name, n, host, at, ending])
+                                 for n, (host, at, ending) in enumerate(self.legs))]
+
+
+class Desk:
+    def __init__(self, dispatcher, terms, house, log, memory, clock, say):
+        self.dispatcher, self.terms, self.house, self.log = dispatcher, terms, house, log
+        self.clock, self.say, self.memory = clock, say, int(memory * house["held"])
+        self.held, self.owed = {}, {}
+        self.ends = OrderedDict()           # name -> delivered, returned, failed or over
+        self.hosts = self.notices = self.discovery = self.alarm = self.leave = None
+        self.waiting, self.telling, self.ready = deque(), False, False
+        self.bytes = 0
+        self.full = None
+        log.alive = self.live_records
+
+    # Clients.
+
+    def answer(self, request, gone):
+        """The answer to a request: (status, headers, body)."""
+        if request.target in ("/ready", "/health"):
+            return (200 if self.ready or request.target == "/health" else 503), (), b""
+        try:
+            told = words.notice_of(request, self.terms["lanes"])
+        except words.Refused as cause:
+            return cause.status, (), f"{cause}\n".encode()
+        status, after = self.take(told, gone)
+        return status, ([("Retry-After", f"{after / 1e9:.3f}")] if after else ()), b""
+
+    def take(self, told, gone):
+        name = told["name"]
+        if name in self.held:       # handed in once more, as its answer may have been lost
+            return 202, 0
+        if name in self.ends:
+            return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
+        size = len(told["body"]) + OVERHEAD
+        if gone or not self.ready or not self.room(size):
+            return 503, 0
+        now = self.clock()
+        msg = self.held[name] = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
+                                     told["mark"], told["key"] or None, told["customer"], told["again"])
+        self.count(size)
+        self.tell("take", name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again)
+        if msg.ending is None:
+            try:
+                self.promise(msg)
+            except Full as cause:
+                self.fault(cause)
+                self.forget(msg, None)
+                self.tell("withdraw", name)
+                return 503, 0
+            return 202, 0
+        state, after = msg.ending
+        return {"delivered": 202, "returned": 503}.get(state, 500), after
+
+    def room(self, size):
+        fits = self.log.room(size) and self.bytes + size <= self.memory
+        if fits != (self.full is None):
+            self.full = None if fits else self.clock()
+            self.say("room again" if fits else "full", held=len(self.held), bytes=self.bytes)
+        return fits
+
+    def count(self, size):
+        self.bytes += size
+        self.log.live += size
+
+    def promise(self, msg):
+        if not msg.promised:
+            msg.promised = True
+            try:
+                self.log.write(msg.record())
+            except Full:
+                msg.promised = False
+                raise
+
+    def fault(self, cause):
+        self.say("log cannot be written", error=str(cause)[:200], size=self.log.size, live=self.log.live)
+
+    # Hosts.
+
+    def returned(self, name, n, host, ending, wait, over, took, report):
+        msg = self.held.get(name)
+        if msg is not None:
+            msg.legs[n][2] = ending
+            if over:
+                self.finish(msg, "delivered" if ending == "delivered" else "over")
+            else:
+                self.note(record(records.BACK, [name, n, ending]))
+        self.tell("outcome", name, n, host, ending, took, wait, report, over or msg is None)
+
+    def may_leave(self, name, n):
+        return self.dispatcher.may_leave(self.clock(), name, n)
+
+    def note(self, *parts):
+        """A record that only saves work after a restart, if it can be written."""
+        try:
+            self.log.write(*parts)
+        except Full as cause:
+            self.fault(cause)
+
+    # The module.
+
+    def tell(self, what, *told):
+        """One thing told is one batch. Told while another is carried out, it waits for its turn."""
+        self.waiting.append((what, told))
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.waiting:
+                what, told = self.waiting.popleft()
+                now = self.clock()
+                acts = getattr(self.dispatcher, what)(now, *told)
+                for act in acts + self.dispatcher.settle(now):
+                    getattr(self, "do_" + act[0].replace(" ", "_"))(*act[1:])
+        finally:
+            self.telling = False
+
+    def do_send(self, name, host, until):
+        msg, now = self.held[name], self.clock()
+        n = len(msg.legs)
+        msg.legs.append([host, now, None])
+        try:
+            self.promise(msg)
+            self.log.write(record(records.CALL, [name, n, host, now, None]))
+        except Full as cause:       # what can't be written must not leave
+            self.fault(cause)
+            msg.legs[n][2] = "unsent"
+            self.waiting.append(("outcome", (name, n, host, "unsent", 0, 0, None, False)))
+            return
+        self.hosts.call(msg, n, host, until)
+
+    def do_cancel(self, name, n):
+        self.hosts.cancel(name, n)
+
+    def do_push_back(self, name, stay_away):
+        self.end(name, "returned", stay_away)
+
+    def do_fail(self, name):
+        self.end(name, "failed", 0)
+
+    def do_close(self, host):
+        self.hosts.close(host)
+
+    def do_wake(self, delay):
+        self.alarm(delay)
+
+    def do_watch(self, wait):
+        self.discovery.ask(wait)
+
+    def do_log(self, text):
+        self.say(text)
+
+    def do_exit(self):
+        self.leave()
+
+    # Ends.
+
+    def end(self, name, state, after):
+        msg = self.held.get(name)
+        if msg is None:
+            return
+        msg.ending = state, after
+        if not msg.promised:        # its client still waits: the answer tells it
+            self.forget(msg, state)
+            return
+        self.owed[name] = state, after
+        self.note(record(records.OWED, [name, state, after]))
+        self.forget(msg, state)
+        self.notices.owe(name, state, after)
+
+    def told_of(self, names):
+        """Notices that the platform has."""
+        self.note(*(record(records.OVER, [name, self.owed.pop(name)[0]]) for name in names))
+
+    def finish(self, msg, state):
+        msg.ending = state, 0
+        self.forget(msg, state)
+        if msg.promised:
+            self.note(record(records.OVER, [msg.name, state]))
+
+    def forget(self, msg, state):
+        del self.held[msg.name]
+        self.count(-msg.size)
+        if state:
+            self.ends[msg.name] = state
+            while len(self.ends) > self.house["ends"]:
+                self.ends.popitem(last=False)
+
+    # The log.
+
+    def live_records(self):
+        for name, state in self.ends.items():
+            if name not in self.owed:
+                yield record(records.OVER, [name, state])
+        for name, (state, after) in self.owed.items():
+            yield record(records.OWED, [name, state, after])
+        for msg in self.held.values():
+            if msg.promised:
+                yield from msg.records()
+
+    def recover(self):
+        """Reads the log back: what is owed its end is told to the module, which decides on each."""
+        for kind, told, body in self.log.read():
+            name, msg = told[0], self.held.get(told[0])
+            if kind == records.TAKEN and msg is None:
+                msg = self.held[name] = Held(name, *told[1:4], body, *told[4:])
+                msg.promised = True
+                self.count(msg.size)
+            elif kind == records.CALL and msg is not None and len(msg.legs) == told[1]:
+                msg.legs.append(list(told[2:]))
+            elif kind == records.BACK and msg is not None and told[1] < len(msg.legs):
+                msg.legs[told[1]][2] = told[2]
+            elif kind == records.OWED:
+                self.owed[name] = tuple(told[1:])
+            if kind in (records.OWED, records.OVER):
+                if msg is not None:
+                    self.forget(msg, told[1])
+                self.ends[name] = told[1]
+            if kind == records.OVER:
+                self.owed.pop(name, None)
+        self.log.compact()
+        for name, (state, after) in self.owed.items():
+            self.notices.owe(name, state, after)
+        for msg in list(self.held.values()):
+            self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
+                      [tuple(leg) for leg in msg.legs])
--- /dev/null
+++ b/courseroute/wire/clients.py
@@ -0,0 +1,131 @@
+"""Thin driver for the clients' connections: reads, feeds the machine, writes what it answers."""
+import errno
+import select
+
+import trio
+
+from courseroute.wire.http import Door, Refused
+
+
+class Clients:
+    """Bounded: so many connections, so many bytes of half-read requests; a full house answers 503."""
+
+    def __init__(self, desk, house, listener, most, half_read, log):
+        self.desk, self.house, self.listener, self.most, self.log = desk, house, listener, most, log
+        self.left = half_read
+        self.open, self.idle, self.half = {}, {}, {}    # scopes; idle ones in that order; bytes in hand
+        self.closing = False
+        self.full = False
+
+    async def serve(self):
+        async with trio.open_nursery() as nursery:
+            while True:
+                try:
+                    sock, _ = await self.listener.accept()
+                except OSError as cause:
+                    if cause.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                        self.log("no descriptors for a client", error=str(cause))
+                        await trio.sleep(self.house["sweep"] / 1e9)
+                    elif self.listener.fileno() == -1:
+                        return
+                    continue
+                nursery.start_soon(self.connection, sock)
+
+    async def connection(self, sock):
+        """A connection beyond the bound gets one plain 503, and far beyond it is just closed."""
+        extra = len(self.open) >= self.most and not self.give_up_idle()
+        if extra and not self.full:
+            self.log("full of connections", open=len(self.open))
+        self.full = extra
+        if len(self.open) >= self.most + self.most // 8:
+            sock.close()
+            return
+        self.open[sock] = scope = trio.CancelScope()
+        try:
+            with scope:
+                door = Door(self.house["head"], self.house["body"])
+                await self.talk(sock, trio.SocketStream(sock), door, extra)
+        except OSError:
+            pass
+        except Exception as cause:      # a peer's odd bytes must cost its own connection only
+            self.log("connection failed", error=repr(cause)[:300])
+        finally:
+            self.hold(sock, 0)
+            self.open.pop(sock, None)
+            self.idle.pop(sock, None)
+            sock.close()
+
+    def give_up_idle(self):
+        """Between requests a relay may close a connection: the longest idle one makes room."""
+        if not self.idle:
+            return False
+        sock = next(iter(self.idle))
+        self.idle.pop(sock)
+        self.open.pop(sock).cancel()
+        return True
+
+    def hold(self, sock, size):
+        """Counts the bytes of half-read requests; False when there is no room for them."""
+        self.left += self.half.pop(sock, 0) - size
+        if size:
+            self.half[sock] = size
+        return self.left >= 0
+
+    async def talk(self, sock, stream, door, extra):
+        try:
+            while True:
+                request = door.next()
+                if request is None:
+                    await self.read(sock, stream, door)
+                    continue
+                self.hold(sock, 0)
+                if extra:
+                    raise Refused(503, "no room for more connections")
+                status, headers, body = self.desk.answer(request, gone(sock))
+                await self.write(stream, door.answer(status, headers, body, close=self.closing))
+                if door.over:
+                    return
+        except Refused as cause:
+            await self.write(stream, door.answer(cause.status, body=f"{cause}\n".encode(), close=True))
+        except (EOFError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def read(self, sock, stream, door):
+        """Reads once; a silent peer is closed, sooner in the middle of a request."""
+        begun = door.begun
+        if not begun:
+            if self.closing:
+                raise EOFError
+            self.idle[sock] = True
+        data = None
+        with trio.move_on_after(self.house["read_within" if begun else "idle"] / 1e9):
+            data = await stream.receive_some(self.house["body"])
+        self.idle.pop(sock, None)
+        if data is None:
+            if begun:
+                raise Refused(408, "the request did not come in time")
+            raise EOFError
+        door.feed(data)
+        if not self.hold(sock, self.half.get(sock, 0) + len(data)):
+            raise Refused(503, "no room for more half-read requests")
+        if go := door.wants_go_ahead():
+            await self.write(stream, go)
+
+    async def write(self, stream, data):
+        with trio.move_on_after(self.house["write_within"] / 1e9) as scope:
+            await stream.send_all(data)
+        if scope.cancelled_caught:
+            raise EOFError
+
+    def close_idle(self):
+        """On the way out: idle connections are closed, the others at their next answer."""
+        self.closing = True
+        while self.give_up_idle():
+            pass
+
+
+def gone(sock):
+    """Whether the peer ended its sending, or reset: the message is then its client's again."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/courseroute/wire/http.py
@@ -0,0 +1,168 @@
+"""HTTP/1.1 as state machines that are fed bytes and know no socket; h11 parses."""
+import h11
+import trio
+
+LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
+REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           500: b"Internal Server Error", 503: b"Service Unavailable"}
+
+
+class Refused(Exception):
+    """The peer's bytes are no request (or answer) we take; `status` is the plain answer to it."""
+
+    def __init__(self, status, why):
+        super().__init__(why)
+        self.status = status
+
+
+class Request:
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, method, target, headers):
+        self.method, self.target, self.headers, self.body = method, target, headers, b""
+
+
+class Door:
+    """The side that serves: bytes in, requests out, answers to bytes."""
+
+    def __init__(self, head_limit, body_limit):
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=head_limit)
+        self.body_limit = body_limit
+        self.chunk = b""
+        self.request, self.parts, self.size, self.whole = None, [], 0, False
+
+    @property
+    def begun(self):
+        """Whether part of a request is in hand."""
+        return self.request is not None or bool(self.h11.trailing_data[0])
+
+    def feed(self, data):
+        """`data` is the buffer that was read into; b"" says that the peer ended its sending."""
+        self.chunk, self.whole = data, False
+        try:
+            self.h11.receive_data(data)
+        except RuntimeError:        # bytes after the end of sending
+            raise Refused(400, "bytes after the end") from None
+
+    def next(self):
+        """The next whole request, None if more bytes are needed; raises EOFError once the peer is done."""
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as cause:
+                raise Refused(cause.error_status_hint, str(cause)) from None
+            if event is h11.NEED_DATA:
+                return None
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise EOFError
+            if isinstance(event, h11.Request):
+                self.begin(event)
+            elif isinstance(event, h11.Data):
+                self.size += len(event.data)
+                if self.size > self.body_limit:
+                    raise Refused(413, "body too large")
+                self.parts.append(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return self.finish()
+
+    def begin(self, event):
+        headers = {}
+        for name, value in event.headers:
+            headers.setdefault(name.decode("latin-1"), value.decode("latin-1"))
+        length = headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.body_limit:
+            raise Refused(413, "body too large")
+        self.request = Request(event.method.decode("latin-1"), event.target.decode("latin-1"), headers)
+        self.parts, self.size, self.whole = [], 0, "transfer-encoding" not in headers
+
+    def finish(self):
+        request, self.request = self.request, None
+        if self.whole:      # head and body came in one read: the body is a slice of that buffer
+            end = len(self.chunk) - len(self.h11.trailing_data[0])
+            request.body = memoryview(self.chunk)[end - self.size:end]
+        else:
+            request.body = b"".join(self.parts)
+        self.parts = []
+        return request
+
+    def wants_go_ahead(self):
+        if not self.h11.they_are_waiting_for_100_continue:
+            return b""
+        return self.h11.send(h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue"))
+
+    def answer(self, status, headers=(), body=b"", close=False):
+        """The bytes of an answer; afterwards the machine stands ready for the next request, or `over`."""
+        headers = [("Content-Length", str(len(body))), *headers]
+        if close:
+            headers.append(("Connection", "close"))
+        try:
+            said = self.h11.send(h11.Response(status_code=status, headers=headers, reason=REASONS[status]))
+            said += self.h11.send(h11.Data(data=body)) + self.h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError:
+            return b""
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+        return said
+
+    @property
+    def over(self):
+        return self.h11.our_state in (h11.CLOSED, h11.MUST_CLOSE, h11.ERROR)
+
+
+class Call:
+    """The side that calls: one connection, one call at a time."""
+
+    def __init__(self, head_limit, body_limit=0):
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
+        self.body_limit = body_limit        # what is kept of a body; more is an error, nought: any, not kept
+        self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
+
+    def begin(self, method, target, headers, body=b""):
+        """The head's bytes; the body goes out behind them as it is."""
+        self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
+        headers = [*headers, ("Content-Length", str(len(body)))]
+        try:
+            head = self.h11.send(h11.Request(method=method, target=target, headers=headers))
+            if body:
+                self.h11.send_with_data_passthrough(h11.Data(data=body))
+            self.h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as cause:
+            raise Refused(400, str(cause)) from None
+        return head
+
+    def feed(self, data):
+        """Takes what came, b"" for the end; `status` is set once the head is there, `done` at the end."""
+        try:
+            self.h11.receive_data(data)
+            while True:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.ConnectionClosed):
+                    raise EOFError
+                if isinstance(event, h11.Response):
+                    self.status = event.status_code
+                    self.headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+                elif isinstance(event, h11.Data) and self.body_limit:
+                    self.size += len(event.data)
+                    if self.size > self.body_limit:
+                        raise Refused(413, "answer too large")
+                    self.parts.append(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    self.done = True
+                    return
+        except (h11.RemoteProtocolError, RuntimeError) as cause:
+            raise Refused(400, str(cause)) from None
+
+    def body(self):
+        return b"".join(self.parts)
+
+    def reusable(self):
+        """Ready for the next call, unless one side wants the connection closed."""
+        if not self.done or self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        if self.h11.trailing_data[0]:
+            return False
+        self.h11.start_next_cycle()
+        return True
