--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -55,9 +55,7 @@
             desk.alarm, desk.leave = self.set_alarm, self.left.set
             self.enter(Phase.RECOVERING)
             desk.tell("start")
-            if told["known"]:
-                watch.index, _, entries, where = roster_of(told["known"], terms["listed_rates"])
-                desk.discovery.learn("saved", entries, where)
+            self.learn_known(watch)
             desk.recover()
             self.clients = Clients(desk, house, listener, int(told["sockets"] * house["client_connections"]),
                                    int(told["memory"] * house["half_read"]), say)
@@ -74,6 +72,15 @@
         log.close()
         self.enter(Phase.ENDED, held=len(desk.held), owed=len(desk.owed))
 
+    def learn_known(self, watch):
+        try:
+            index, _, entries, where = roster_of(self.told["known"], self.told["terms"]["listed_rates"])
+        except ValueError as cause:     # a bad saved list must not keep the relay from its start
+            say("saved list not read", error=str(cause)[:200])
+            return
+        watch.index = index
+        self.desk.discovery.learn("saved", entries, where)
+
     async def close(self, listener):
         """None is left unanswered: what is being read is answered, with 503 by now."""
         self.desk.ready = False
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -3,13 +3,14 @@
 A message is written to the log before its 202, a call before it leaves, an end as soon as it is known.
 What the module decides for a message not promised yet becomes the answer to its client; later a notice.
 """
+import traceback
 from collections import OrderedDict, deque
 
 from courseroute.state import log as records
 from courseroute.state.log import Full, record
 from courseroute.wire import words
 
-OVERHEAD = 512      # of a message in the log beside its body: its fields, and those of its legs
+LEG, NOTICE = 160, 80       # bytes of such a record in the log at most, beside the message's name
 
 
 class Held:
@@ -20,7 +21,7 @@
         self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
         self.mark, self.key, self.customer, self.again = mark, key, customer, again
         self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
-        self.size = len(body) + OVERHEAD
+        self.size = 0       # in the log, with room for all its legs
 
     def record(self):
         return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
@@ -62,13 +63,13 @@
             return 202, 0
         if name in self.ends:
             return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
-        size = len(told["body"]) + OVERHEAD
-        if gone or not self.ready or not self.room(size):
-            return 503, 0
         now = self.clock()
-        msg = self.held[name] = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
-                                     told["mark"], told["key"] or None, told["customer"], told["again"])
-        self.count(size)
+        msg = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
+                   told["mark"], told["key"] or None, told["customer"], told["again"])
+        if gone or not self.ready or not self.room(self.measure(msg)):
+            return 503, 0
+        self.held[name] = msg
+        self.count(msg.size)
         self.tell("take", name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again)
         if msg.ending is None:
             try:
@@ -89,6 +90,10 @@
             self.say("room again" if fits else "full", held=len(self.held), bytes=self.bytes)
         return fits
 
+    def measure(self, msg):
+        msg.size = len(msg.record()) + self.terms.get("legs", 8) * (LEG + len(msg.name))
+        return msg.size
+
     def count(self, size):
         self.bytes += size
         self.log.live += size
@@ -138,13 +143,23 @@
         try:
             while self.waiting:
                 what, told = self.waiting.popleft()
-                now = self.clock()
-                acts = getattr(self.dispatcher, what)(now, *told)
-                for act in acts + self.dispatcher.settle(now):
+                for act in self.decide(self.clock(), what, told):
                     getattr(self, "do_" + act[0].replace(" ", "_"))(*act[1:])
         finally:
             self.telling = False
 
+    def decide(self, now, what, told):
+        """A fault in one decision must not end the relay, with all it holds; the next wake-up goes on."""
+        acts = []
+        for method, args in ((what, told), ("settle", ())):
+            try:
+                acts += getattr(self.dispatcher, method)(now, *args)
+            except Exception:
+                self.say("module failed", told=method, trace=traceback.format_exc()[-1500:])
+                self.dispatcher.armed = None
+                acts += [*self.dispatcher.said(), ("wake", self.house["sweep"])]
+        return acts
+
     def do_send(self, name, host, until):
         msg, now = self.held[name], self.clock()
         n = len(msg.legs)
@@ -154,8 +169,7 @@
             self.log.write(record(records.CALL, [name, n, host, now, None]))
         except Full as cause:       # what can't be written must not leave
             self.fault(cause)
-            msg.legs[n][2] = "unsent"
-            self.waiting.append(("outcome", (name, n, host, "unsent", 0, 0, None, False)))
+            self.hosts.unsent(msg, n, host)
             return
         self.hosts.call(msg, n, host, until)
 
@@ -194,12 +208,14 @@
             self.forget(msg, state)
             return
         self.owed[name] = state, after
+        self.count(NOTICE + len(name))
         self.note(record(records.OWED, [name, state, after]))
         self.forget(msg, state)
         self.notices.owe(name, state, after)
 
     def told_of(self, names):
         """Notices that the platform has."""
+        self.count(-sum(NOTICE + len(name) for name in names))
         self.note(*(record(records.OVER, [name, self.owed.pop(name)[0]]) for name in names))
 
     def finish(self, msg, state):
@@ -235,7 +251,7 @@
             if kind == records.TAKEN and msg is None:
                 msg = self.held[name] = Held(name, *told[1:4], body, *told[4:])
                 msg.promised = True
-                self.count(msg.size)
+                self.count(self.measure(msg))
             elif kind == records.CALL and msg is not None and len(msg.legs) == told[1]:
                 msg.legs.append(list(told[2:]))
             elif kind == records.BACK and msg is not None and told[1] < len(msg.legs):
@@ -248,7 +264,7 @@
                 self.ends[name] = told[1]
             if kind == records.OVER:
                 self.owed.pop(name, None)
-        self.log.compact()
+        self.count(sum(NOTICE + len(name) for name in self.owed))
         for name, (state, after) in self.owed.items():
             self.notices.owe(name, state, after)
         for msg in list(self.held.values()):
--- a/courseroute/state/log.py
+++ b/courseroute/state/log.py
@@ -25,16 +25,16 @@
 
 
 def records(data):
-    """(kind, fields, body) of each whole record, up to the first that is torn."""
+    """(end, kind, fields, body) of each whole record, up to the first that is torn."""
     at, view = 0, memoryview(data)
     while at + HEAD.size <= len(data):
         size, check, kind = HEAD.unpack_from(data, at)
         part = view[at + HEAD.size:at + HEAD.size + size]
         if len(part) < size or zlib.crc32(part, zlib.crc32(kind)) != check:
             return
-        end = data.index(b"\n", at + HEAD.size)
-        yield kind, orjson.loads(data[at + HEAD.size:end]), bytes(view[end + 1:at + HEAD.size + size])
+        line = data.index(b"\n", at + HEAD.size)
         at += HEAD.size + size
+        yield at, kind, orjson.loads(data[at - size:line]), bytes(view[line + 1:at])
 
 
 class Log:
@@ -46,12 +46,15 @@
         self.compacted = 0
 
     def read(self):
+        """The records of earlier lives; goes on writing behind the last whole one."""
         if os.path.exists(self.spare):
             os.unlink(self.spare)
-        if not os.path.exists(self.path):
-            return []
+        self.file = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
         with open(self.path, "rb") as file:
-            return list(records(file.read()))
+            found = list(records(file.read()))
+        self.size = found[-1][0] if found else 0
+        self.cut(self.size)
+        return [told[1:] for told in found]
 
     def room(self, size):
         """Whether a message with so many bytes may still be taken on."""
@@ -72,11 +75,11 @@
             while view:
                 view = view[os.write(self.file, view):]
         except OSError as cause:
-            self.file_end(start)
+            self.cut(start)
             raise Full(str(cause)) from None
         self.size += len(data)
 
-    def file_end(self, size):
+    def cut(self, size):
         try:
             os.ftruncate(self.file, size)
             os.lseek(self.file, size, os.SEEK_SET)
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -37,12 +37,12 @@
             self.drop(conn)
         return None
 
-    def keep(self, host, conn, now):
-        self.kept.setdefault(host, []).append((conn, now))
+    def keep(self, host, conn):
+        self.kept.setdefault(host, []).append((conn, self.clock()))
 
     def drop(self, conn):
         self.leave()
-        conn[0].socket.close()
+        conn.close()
 
     def close(self, host):
         while host in self.kept:
@@ -59,5 +59,5 @@
 
 def quiet(conn):
     poll = select.poll()
-    poll.register(conn[0].socket.fileno(), select.POLLIN | select.POLLRDHUP)
+    poll.register(conn.socket.fileno(), select.POLLIN | select.POLLRDHUP)
     return not poll.poll(0)
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -26,9 +26,9 @@
                     if cause.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
                         self.log("no descriptors for a client", error=str(cause))
                         await trio.sleep(self.house["sweep"] / 1e9)
-                    elif self.listener.fileno() == -1:
-                        return
                     continue
+                except trio.ClosedResourceError:
+                    return
                 nursery.start_soon(self.connection, sock)
 
     async def connection(self, sock):
@@ -87,6 +87,10 @@
                     return
         except Refused as cause:
             await self.write(stream, door.answer(cause.status, body=f"{cause}\n".encode(), close=True))
+            with trio.move_on_after(self.house["last_words"] / 1e9):    # closing on unread bytes would reset
+                await stream.send_eof()
+                while await stream.receive_some(self.house["body"]):
+                    pass
         except (EOFError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
@@ -94,8 +98,6 @@
         """Reads once; a silent peer is closed, sooner in the middle of a request."""
         begun = door.begun
         if not begun:
-            if self.closing:
-                raise EOFError
             self.idle[sock] = True
         data = None
         with trio.move_on_after(self.house["read_within" if begun else "idle"] / 1e9):
@@ -120,12 +122,18 @@
     def close_idle(self):
         """On the way out: idle connections are closed, the others at their next answer."""
         self.closing = True
-        while self.give_up_idle():
-            pass
+        for sock in list(self.idle):
+            if not seen(sock, select.POLLIN):
+                self.idle.pop(sock)
+                self.open.pop(sock).cancel()
 
 
 def gone(sock):
     """Whether the peer ended its sending, or reset: the message is then its client's again."""
+    return seen(sock, select.POLLRDHUP)
+
+
+def seen(sock, what):
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
+    poll.register(sock.fileno(), what)
     return bool(poll.poll(0))
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -2,7 +2,8 @@
 import orjson
 import trio
 
-from courseroute.wire.http import LOST, Call, Refused
+from courseroute.wire.http import Refused
+from courseroute.wire.link import LOST, Line
 from courseroute.wire.words import UNITS, roster_of
 
 
@@ -31,9 +32,9 @@
 
 class Discovery:
     def __init__(self, desk, hosts, house, place, watch, log):
-        self.desk, self.hosts, self.house, self.place = desk, hosts, house, place
-        self.watch, self.log = watch, log
-        self.wait, self.asked, self.conn = None, trio.Event(), None
+        self.desk, self.hosts, self.house, self.watch, self.log = desk, hosts, house, watch, log
+        self.line = Line(place, house["head"], house["list"])
+        self.wait, self.asked = None, trio.Event()
 
     def ask(self, wait):
         self.wait = wait
@@ -49,29 +50,12 @@
             self.asked = trio.Event()
             try:
                 while True:
-                    self.learn(*self.watch.answer(*await self.get(self.watch.target(self.wait))))
+                    self.learn(*self.watch.answer(*await self.get()))
             except (*LOST, Refused, ValueError) as cause:
                 self.log("discovery failed", error=str(cause)[:200] or type(cause).__name__)
-                self.drop()
+                self.line.drop()
                 self.desk.tell("roster", "failed", [])
 
-    async def get(self, target):
-        with trio.move_on_after((self.wait + self.house["list_within"]) / 1e9):
-            if self.conn is None:
-                sock = trio.socket.socket()
-                self.conn = trio.SocketStream(sock), Call(self.house["head"], self.house["list"])
-                await sock.connect(self.place)
-            stream, call = self.conn
-            await stream.send_all(call.begin("GET", target, [("Host", "discovery")]))
-            while not call.done:
-                call.feed(await stream.receive_some(self.house["body"]))
-            told = call.status, call.body()
-            if not call.reusable():
-                self.drop()
-            return told
-        raise ValueError("no answer in time")
-
-    def drop(self):
-        if self.conn is not None:
-            self.conn[0].socket.close()
-            self.conn = None
+    async def get(self):
+        return await self.line.exchange(self.wait + self.house["list_within"], "GET",
+                                        self.watch.target(self.wait), [("Host", "discovery")])
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -1,10 +1,9 @@
 """Thin driver for calls to hosts: one task a call, connections kept in the pool between calls."""
-import time
-
 import trio
 
 from courseroute.wire import words
-from courseroute.wire.http import LOST, Call, Refused
+from courseroute.wire.http import Refused
+from courseroute.wire.link import LOST, Link
 
 
 class Hosts:
@@ -36,87 +35,88 @@
                 await leg.go()
         except (*LOST, Refused):
             pass
-        except Exception as cause:
+        except Exception as cause:      # one call's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
-        told = leg.told
-        if told is None:
-            if not leg.written:     # proved never to have run
-                called_off = scope.cancelled_caught and self.clock() < until
-                ending = "unsent" if leg.held_back or called_off else "unreachable"
-            elif scope.cancelled_caught:
-                ending = "timeout" if self.clock() >= until else "cancelled"
-            else:
-                ending = "reset"
-            told = ending, 0, False
+        over = self.clock() >= until
+        if leg.told is not None:
+            told = leg.told
+        elif not leg.written:       # proved never to have run
+            held_back = leg.held_back or scope.cancelled_caught and not over
+            told = "unsent" if held_back else "unreachable", 0, False
+        elif scope.cancelled_caught:
+            told = "timeout" if over else "cancelled", 0, False
+        else:
+            told = "reset", 0, False
         try:
             self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, leg.report)
-            if leg.told and leg.conn:
+            if leg.told:
                 await leg.drain()
+        except (*LOST, Refused):
+            pass
         finally:
             leg.close()
 
+    def unsent(self, msg, n, host):
+        """For a call that must not leave; the module is told a little later, lest it try at once for ever."""
+        self.nursery.start_soon(self.say_unsent, msg, n, host)
+
+    async def say_unsent(self, msg, n, host):
+        await trio.sleep(self.house["notice_pause"] / 1e9)
+        self.desk.returned(msg.name, n, host, "unsent", 0, False, 0, None)
+
 
 class Leg:
     def __init__(self, hosts, msg, n, host, until):
         self.hosts, self.msg, self.n, self.host, self.until = hosts, msg, n, host, until
-        self.conn = self.told = self.report = self.took = None
+        self.link = self.told = self.report = self.took = None
         self.written = self.held_back = False
 
     async def go(self):
         hosts, begun = self.hosts, self.hosts.clock()
-        self.conn = hosts.pool.idle(self.host)
-        if self.conn is None:
-            self.conn = await self.connect()
-            if self.conn is None:
-                return
-            if not hosts.desk.may_leave(self.msg.name, self.n):
-                self.held_back = True
-                return
-        stream, call = self.conn
+        self.link = hosts.pool.idle(self.host) or await self.connect()
+        # A wait, or a drain, may have been told while the connection came up.
+        self.held_back = self.link is None or not hosts.desk.may_leave(self.msg.name, self.n)
+        if self.held_back:
+            return
         fields = words.call_head(self.msg, self.until - hosts.clock())
-        await stream.send_all(call.begin("POST", "/hook", fields, self.msg.body) + self.msg.body)
+        await self.link.send("POST", "/hook", fields, self.msg.body)
         self.written = True
-        while call.status is None:
-            call.feed(await stream.receive_some(hosts.house["head"]))
+        call = self.link.call
+        try:
+            while call.status is None:
+                await self.link.hear()
+        except Refused:
+            if call.status is None:     # the first line counts, whatever comes behind it
+                raise
         self.took = hosts.clock() - begun
         self.told = words.ending_of(call.status, call.headers)
         self.report = words.report_of(call.headers.get("x-load"))
 
     async def connect(self):
-        hosts = self.hosts
+        """None where there is no room for one more connection; TimeoutError where it does not come up."""
+        hosts, link = self.hosts, None
         if not hosts.pool.enter():
-            self.held_back = True
             return None
-        place, conn = hosts.where.get(self.host), None
         try:
-            with trio.move_on_after(hosts.connect_within / 1e9):
-                sock = trio.socket.socket()
-                try:
-                    await sock.connect(place)
-                    conn = trio.SocketStream(sock), Call(hosts.house["head"])
-                finally:
-                    if conn is None:
-                        sock.close()
+            with trio.fail_after(hosts.connect_within / 1e9):
+                link = await Link(hosts.house["head"]).dial(hosts.where[self.host])
+        except trio.TooSlowError:
+            raise TimeoutError from None
         finally:
-            if conn is None:
+            if link is None:
                 hosts.pool.leave()
-        return conn
+        return link
 
     async def drain(self):
         """Reads the answer to its end, within bounds, so that the connection can be used again."""
-        stream, call = self.conn
-        try:
-            with trio.move_on_after(self.hosts.house["drain_answer"] / 1e9):
-                while not call.done:
-                    call.feed(await stream.receive_some(self.hosts.house["head"]))
-        except (*LOST, Refused):
-            return
-        if call.reusable():
-            conn, self.conn = self.conn, None
-            self.hosts.pool.keep(self.host, conn, time.monotonic_ns())
+        with trio.move_on_after(self.hosts.house["drain_answer"] / 1e9):
+            await self.link.hear_all()
+        if self.link.call.reusable():
+            self.hosts.pool.keep(self.host, self.link)
+            self.link = None
 
     def close(self):
-        if self.conn is not None:
-            conn, self.conn = self.conn, None
-            self.hosts.pool.drop(conn)
+        if self.link is not None:
+            self.hosts.pool.drop(self.link)
+            self.link = None
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -1,8 +1,6 @@
 """HTTP/1.1 as state machines that are fed bytes and know no socket; h11 parses."""
 import h11
-import trio
 
-LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
 REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            500: b"Internal Server Error", 503: b"Service Unavailable"}
@@ -28,7 +26,7 @@
 
     def __init__(self, head_limit, body_limit):
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=head_limit)
-        self.body_limit = body_limit
+        self.head_limit, self.body_limit = head_limit, body_limit
         self.chunk = b""
         self.request, self.parts, self.size, self.whole = None, [], 0, False
 
@@ -68,6 +66,8 @@
 
     def begin(self, event):
         headers = {}
+        if sum(len(name) + len(value) for name, value in event.headers) + len(event.target) > self.head_limit:
+            raise Refused(431, "head too large")        # h11 bounds only heads that come in pieces
         for name, value in event.headers:
             headers.setdefault(name.decode("latin-1"), value.decode("latin-1"))
         length = headers.get("content-length", "0")
@@ -97,7 +97,8 @@
         if close:
             headers.append(("Connection", "close"))
         try:
-            said = self.h11.send(h11.Response(status_code=status, headers=headers, reason=REASONS[status]))
+            reason = REASONS.get(status, b"Error")
+            said = self.h11.send(h11.Response(status_code=status, headers=headers, reason=reason))
             said += self.h11.send(h11.Data(data=body)) + self.h11.send(h11.EndOfMessage())
         except h11.LocalProtocolError:
             return b""
--- /dev/null
+++ b/courseroute/wire/link.py
@@ -0,0 +1,70 @@
+"""A connection that this relay opened, its machine beside it: shared by the drivers that call out."""
+import trio
+
+from courseroute.wire.http import Call, Refused
+
+LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
+
+
+class Link:
+    def __init__(self, head_limit, body_limit=0):
+        self.call = Call(head_limit, body_limit)
+        self.chunk = max(head_limit, body_limit and 4 * head_limit)
+        self.socket = trio.socket.socket()
+        self.stream = None
+
+    async def dial(self, place):
+        try:
+            await self.socket.connect(place)
+        except BaseException:
+            self.close()
+            raise
+        self.stream = trio.SocketStream(self.socket)
+        return self
+
+    async def send(self, method, target, headers, body=b""):
+        await self.stream.send_all(self.call.begin(method, target, headers, body) + body)
+
+    async def hear(self):
+        """Feeds the machine once with what has come."""
+        self.call.feed(await self.stream.receive_some(self.chunk))
+
+    async def hear_all(self):
+        while not self.call.done:
+            await self.hear()
+
+    def close(self):
+        self.socket.close()
+
+
+class Line:
+    """One kept link to one place, opened anew when it broke; one exchange at a time."""
+
+    def __init__(self, place, head_limit, body_limit=0):
+        self.place, self.limits, self.link = place, (head_limit, body_limit), None
+
+    async def exchange(self, within, method, target, headers, body=b""):
+        """(status, body) of the answer; raises one of LOST or Refused where none came in time."""
+        kept = self.link is not None
+        try:
+            with trio.move_on_after(within / 1e9):
+                if not kept:
+                    self.link = await Link(*self.limits).dial(self.place)
+                await self.link.send(method, target, headers, body)
+                await self.link.hear_all()
+                told = self.link.call.status, self.link.call.body()
+                if not self.link.call.reusable():
+                    self.drop()
+                return told
+        except (*LOST, Refused):
+            self.drop()
+            if kept:        # the other side may have closed it while it stood idle
+                return await self.exchange(within, method, target, headers, body)
+            raise
+        self.drop()
+        raise Refused(408, "no answer in time")
+
+    def drop(self):
+        if self.link is not None:
+            self.link.close()
+            self.link = None
--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -2,15 +2,16 @@
 import orjson
 import trio
 
-from courseroute.wire.http import LOST, Call, Refused
+from courseroute.wire.http import Refused
+from courseroute.wire.link import LOST, Line
 from courseroute.wire.words import UNITS
 
 
 class Notices:
     def __init__(self, desk, house, place, log):
-        self.desk, self.house, self.place, self.log = desk, house, place, log
+        self.desk, self.house, self.log = desk, house, log
+        self.line = Line(place, house["head"])
         self.lines, self.some = {}, trio.Event()
-        self.conn = None
         self.failing = False
 
     def owe(self, name, state, after):
@@ -50,26 +51,12 @@
             self.desk.told_of(names)
 
     async def post(self, body):
-        """The answer's status, None where none came; if a kept connection was closed it is tried anew."""
-        status, kept = None, self.conn is not None
+        """The answer's status, None where none came."""
         try:
-            with trio.move_on_after(self.house["notice_within"] / 1e9):
-                if self.conn is None:
-                    sock = trio.socket.socket()
-                    self.conn = trio.SocketStream(sock), Call(self.house["head"])
-                    await sock.connect(self.place)
-                stream, call = self.conn
-                await stream.send_all(call.begin("POST", "/v1/notices", [("Host", "platform")], body) + body)
-                while not call.done:
-                    call.feed(await stream.receive_some(self.house["head"]))
-                status = call.status
+            status, _ = await self.line.exchange(
+                self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body)
         except (*LOST, Refused):
-            pass
-        if status is None or not self.conn[1].reusable():
-            self.conn[0].socket.close()
-            self.conn = None
-            if status is None and kept:
-                return await self.post(body)
+            status = None
         if (status is None) != self.failing:
             self.failing = status is None
             self.log("notices fail" if self.failing else "notices are taken again", owed=len(self.lines))
--- a/courseroute/wire/words.py
+++ b/courseroute/wire/words.py
@@ -1,11 +1,11 @@
 """The words of the protocol: what a head's fields say, as the interface has it, and back."""
 import re
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 from courseroute.wire.http import Refused
 
 UNITS = {"m": 1_000_000, "u": 1000}
-SPAN = re.compile(r"(\d{1,15}(?:\.\d{1,9})?)([mu])")
+SPAN = re.compile(r"(\d{1,10}(?:\.\d{1,9})?)([mu])")
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 ODD = re.compile(r"[^\x21-\x7e]")
 
@@ -23,8 +23,8 @@
 
 def notice_of(request, lanes):
     """What a client hands in, as a plain map; anything odd is refused with a plain answer."""
-    parts = urlsplit(request.target)
-    lane = parts.path.lstrip("/").split("/")[0]
+    path, _, query = request.target.partition("?")
+    lane = path.lstrip("/").split("/")[0]
     told = request.headers
     if lane not in lanes:
         raise Refused(404, "no such class")
@@ -42,7 +42,7 @@
         raise Refused(400, "Idempotency-Key is odd")
     return {"name": name, "dst": str(int(dst)), "lane": lane, "left": span_of(told.get("x-deadline", "")),
             "mark": key, "customer": told.get("x-tenant", "")[:128], "again": "x-retry" in told,
-            "key": dict(parse_qsl(parts.query)).get("subject", "")[:256], "body": request.body}
+            "key": dict(parse_qsl(query)).get("subject", "")[:256], "body": request.body}
 
 
 def call_head(msg, left):
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,282 @@
+"""The program itself, started as the deploy file has it and spoken to over sockets."""
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from helpers import Town, until
+
+
+@pytest.fixture
+def town(tmp_path):
+    town = Town(tmp_path)
+    yield town
+    town.close()
+
+
+def test_a_message_is_taken_on_and_passed_on_unchanged(town):
+    town.start()
+    body = bytes(range(256)) * 200
+    assert town.hand_in("a", "order", body) == 202
+    assert until(lambda: town.calls)
+    call, = town.calls
+    assert (call["id"], call["key"], call["body"]) == ("a", "k-a", body)
+    assert town.hand_in("a", "order", body) in (200, 202)       # its answer may have been lost
+    time.sleep(0.2)
+    assert len(town.calls) == 1 and not town.notices
+
+
+@pytest.mark.parametrize("lane, plan, again", [
+    ("notice", (500, {}), True), ("order", "drop", True), ("once", (503, {}), True),
+    ("once", (429, {}), True), ("once", (500, {}), False), ("once", "drop", False),
+    ("once", (503, {"Slots-Taken": "1"}), True),
+])
+def test_what_comes_back_decides_on_a_further_leg(town, lane, plan, again):
+    town.plan = lambda call: plan if call["n"] == 0 else (200, {})
+    town.start()
+    assert town.hand_in("a", lane) == 202
+    if again:
+        assert until(lambda: len(town.calls) == 2)
+    else:
+        assert until(lambda: town.notices == [{"id": "a", "state": "failed"}])
+        assert len(town.calls) == 1
+
+
+def test_a_told_wait_is_heeded_by_all_messages(town):
+    town.plan = lambda call: (429, {"Wait-Ms": "900"}) if call["n"] == 0 else (200, {})
+    town.start()
+    for name in "abc":
+        town.hand_in(name)
+        time.sleep(0.05)
+    assert until(lambda: len(town.calls) >= 4)
+    assert all(call["at"] - town.calls[0]["at"] >= 0.9 for call in town.calls[1:])
+
+
+@pytest.mark.parametrize("lane, out, ends", [
+    ("notice", False, "sent"), ("notice", True, "sent"), ("order", True, "sent"), ("once", False, "sent"),
+    ("once", True, "failed"),       # its call was out: it may have run
+])
+def test_a_killed_relay_still_owes_each_message_its_end(town, lane, out, ends):
+    town.plan = lambda call: "hang" if out else (429, {"Wait-Ms": "5000"})
+    town.start()
+    assert town.hand_in("a", lane, b"body") == 202
+    assert until(lambda: town.calls)
+    time.sleep(0.1)
+    town.end()
+    before, town.plan = len(town.calls), lambda call: (200, {})
+    town.start()
+    if ends == "sent":
+        assert until(lambda: len(town.calls) > before)
+        assert town.calls[-1]["id"] == "a" and town.calls[-1]["body"] == b"body"
+    else:
+        assert until(lambda: town.notices == [{"id": "a", "state": "failed"}])
+        assert len(town.calls) == before
+    town.end()
+    count = len(town.calls) + len(town.notices)
+    town.start()
+    time.sleep(0.3)
+    assert len(town.calls) + len(town.notices) == count       # over is over, after a further restart too
+
+
+@pytest.mark.parametrize("tail", [b"\x99", b"\x40\0\0\0\1\2\3\4T[\"z\"", b"\0" * 4096])
+def test_a_torn_last_record_is_survived(town, tail):
+    town.plan = lambda call: (429, {"Wait-Ms": "5000"})
+    town.start()
+    town.hand_in("a")
+    town.hand_in("b")
+    town.end()
+    with open(town.folder / "state" / "log", "ab") as log:
+        log.write(tail)
+    town.start()
+    assert until(lambda: {"a", "b"} <= {call["id"] for call in town.calls[1:]})
+    assert town.hand_in("c") == 202
+    town.end()
+    calls, town.plan = len(town.calls), lambda call: (200, {})
+    town.start()
+    assert until(lambda: {"a", "b", "c"} <= {call["id"] for call in town.calls[calls:]})
+
+
+def test_a_notice_is_told_until_the_platform_takes_it_across_a_restart(town):
+    town.start()
+    town.platform_status, town.plan = 503, lambda call: "drop"
+    assert town.hand_in("a", "once") == 202
+    assert until(lambda: any(event["event"] == "notices not taken" for event in town.events()))
+    town.end()
+    town.platform_status = None
+    town.start()
+    assert until(lambda: town.notices == [{"id": "a", "state": "failed"}])
+
+
+def test_sigterm_serves_new_connections_answers_all_and_exits_in_time(town):
+    town.plan = lambda call: "hang" if call["id"] in ("a", "b") else (200, {})
+    town.start()
+    town.hand_in("a", "notice", left="20000m")
+    town.hand_in("b", "once", left="20000m")
+    assert until(lambda: len(town.calls) == 2)
+    kept = socket.create_connection(("127.0.0.1", town.port))
+    kept.sendall(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
+    assert b"200" in kept.recv(1000)
+    begun = time.time()
+    town.relay.send_signal(signal.SIGTERM)
+    kept.settimeout(1)
+    assert kept.recv(1000) == b""       # idle: closed, its client goes to another relay
+    answers = []
+    while time.time() - begun < 3.0:
+        answers.append(town.hand_in(f"n{len(answers)}"))
+        time.sleep(0.1)
+    assert set(answers) <= {202, 503} and answers[0] == 202
+    assert town.relay.wait(3.7 - (time.time() - begun)) == 0
+    taken = [f"n{i}" for i, answer in enumerate(answers) if answer == 202]
+    returned = {notice["id"] for notice in town.notices if notice["state"] == "returned"}
+    assert all(town.sent(name) or name in returned for name in taken)
+    assert [event.get("phase") for event in town.events() if event["event"] == "phase"] == [
+        "recovering", "serving", "leaving", "closing", "ended"]
+    town.relay, calls = None, len(town.sent("b"))
+    town.plan = lambda call: (200, {})
+    town.start()
+    assert until(lambda: any(notice["id"] == "b" for notice in town.notices))
+    assert len(town.sent("b")) == calls
+
+
+READY = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
+HEAD = b"POST /notice HTTP/1.1\r\nHost: r\r\nX-Request-Id: z\r\nX-Deadline: 900m\r\nEnvelope: dest=7\r\n"
+
+
+@pytest.mark.parametrize("data, answer", [
+    (b"nonsense\r\n\r\n", b" 400 "), (b"GET /nowhere HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
+    (b"GET /notice HTTP/1.1\r\nHost: r\r\n\r\n", b" 405 "),
+    (b"GET http://[ HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
+    (HEAD.replace(b"dest=7", b"dest=x") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+    (HEAD.replace(b"900m", b"soon") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+    (HEAD.replace(b"900m", b"9" * 40 + b"m") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+    (HEAD + b"Content-Length: 65537\r\n\r\n", b" 413 "), (HEAD + b"Content-Length: -4\r\n\r\n", b" 400 "),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + (b"fff0\r\n" + b"x" * 0xfff0 + b"\r\n") * 2, b" 413 "),
+    (HEAD + b"X-Long: " + b"y" * 20000 + b"\r\n\r\n", b" 431 "),
+    (HEAD + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", b" 202 "),
+    (HEAD + b"Connection: close\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", b" 202 "),
+    ([HEAD + b"Connection: close\r\nContent-Length: 4\r\n\r\n", b"o", b"kok"], b" 202 "),
+    (READY * 2 + READY.replace(b"Host", b"Connection: close\r\nHost"), b" 200 "),
+    (HEAD + b"Content-Length: 9\r\n\r\nshort", b" 408 "), (HEAD, b" 408 "), (b"\0" * 20000, b" 400 "),
+], ids=range(18))
+def test_bad_input_gets_a_plain_answer_and_the_relay_serves_on(town, data, answer):
+    town.start()
+    assert answer in town.raw(data, within=8).split(b"\r\n")[0] + b" "
+    assert town.hand_in("after") == 202 and until(lambda: town.sent("after"))
+
+
+def test_a_client_that_is_gone_before_its_answer_keeps_its_message(town):
+    town.start()
+    with socket.create_connection(("127.0.0.1", town.port)) as sock:
+        sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
+        sock.shutdown(socket.SHUT_WR)
+        assert b" 503 " in sock.recv(1000)
+    time.sleep(0.2)
+    assert not town.calls
+
+
+@pytest.mark.parametrize("limits, size, cap", [
+    ({}, 10, 100), ({"disk_mb": 1}, 60000, 6), ({"memory_mb": 2}, 60000, 8),
+])
+def test_full_means_503_and_the_disk_limit_is_kept(tmp_path, limits, size, cap):
+    town = Town(tmp_path, limits)
+    try:
+        town.plan = lambda call: (429, {"Wait-Ms": "5000"})
+        town.start()
+        answers = [town.hand_in(f"m{i}", body=b"x" * size, left="30000m") for i in range(cap + 30)]
+        assert set(answers) == {202, 503} and answers.count(202) <= cap
+        used = sum(file.stat().st_size for file in (tmp_path / "state").iterdir())
+        assert used <= town.limits["disk_mb"] * 1_000_000
+    finally:
+        town.close()
+
+
+def test_the_log_is_compacted_within_its_limit(tmp_path):
+    town = Town(tmp_path, {"disk_mb": 1})
+    try:
+        town.start()
+        most = 0
+        for i in range(60):
+            assert town.hand_in(f"m{i}", body=b"x" * 30000) == 202
+            most = max(most, sum(file.stat().st_size for file in (tmp_path / "state").iterdir()))
+        assert 200_000 < most <= 1_000_000 and until(lambda: len(town.calls) == 60)
+    finally:
+        town.close()
+
+
+def test_more_connections_than_fit_are_answered_or_closed_and_none_crash_the_relay(tmp_path):
+    town = Town(tmp_path, {"sockets": 60})
+    socks = []
+    try:
+        town.start()
+        for _ in range(80):
+            sock = socket.create_connection(("127.0.0.1", town.port), timeout=3)
+            sock.sendall(b"POST /notice HTTP/1.1\r\nHost:")
+            socks.append(sock)
+        assert until(lambda: any(event["event"] == "full of connections" for event in town.events()))
+        late = town.hand_in("late")
+        for sock in socks:
+            sock.close()
+        assert late in (0, 503) and until(lambda: town.hand_in("then") == 202)
+    finally:
+        town.close()
+
+
+def test_half_read_requests_are_bounded(tmp_path):
+    town = Town(tmp_path, {"memory_mb": 4})
+    socks = []
+    try:
+        town.start()
+        for _ in range(20):
+            sock = socket.create_connection(("127.0.0.1", town.port), timeout=3)
+            sock.sendall(HEAD + b"Content-Length: 60000\r\n\r\n" + b"x" * 50000)
+            socks.append(sock)
+        assert any(b" 503 " in sock.recv(1000) for sock in socks[10:])
+        for sock in socks:
+            sock.close()
+        assert until(lambda: town.hand_in("then") == 202)
+    finally:
+        town.close()
+
+
+def test_a_host_that_leaves_gets_nothing_more_though_it_was_told_while_calls_waited(town):
+    town.start()
+    town.news.append([entry for entry in town.entries(h1="leaving") if entry["name"] == "h1"])
+    assert until(lambda: len(town.watches) >= 2)
+    time.sleep(0.1)
+    for i in range(10):
+        town.hand_in(f"m{i}")
+    assert until(lambda: len(town.calls) == 10) and {call["host"] for call in town.calls} == {"h2"}
+
+
+def test_failing_discovery_leaves_the_known_list_and_is_asked_with_pauses(town):
+    town.platform_status = 503
+    town.start()
+    assert town.hand_in("a") == 202 and until(lambda: town.sent("a"))
+    time.sleep(3)
+    assert 1 <= len(town.watches) <= 5
+    town.platform_status = None
+    count = len(town.watches)
+    assert until(lambda: len(town.watches) > count + 1, 12)
+
+
+def test_silent_peers_cost_their_own_connections_only(town):
+    """A host and a platform that accept and say nothing; calls end by time-out, others go on."""
+    town.plan = lambda call: "hang" if call["host"] == "h1" else (200, {})
+    town.start()
+    for i in range(6):
+        assert town.hand_in(f"m{i}") == 202
+    assert until(lambda: all(any(call["host"] == "h2" for call in town.sent(f"m{i}")) for i in range(6)), 8)
+
+
+def test_events_are_json_lines_and_a_closed_reader_does_not_stop_the_relay(town):
+    town.start()
+    assert all("event" in event and "at" in event for event in town.events())
+    threads = [threading.Thread(target=town.hand_in, args=(f"m{i}",)) for i in range(20)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert until(lambda: len({call["id"] for call in town.calls}) == 20)
+    assert json.dumps(town.events()[0])
