--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -9,9 +9,12 @@
     roster(now, scope, entries)                 news of the list; scope is full, saved, changes or failed;
                                                 an entry is (host, state, area, rate, kind, destination),
                                                 state ready, draining or gone, rate None if not listed
-    take(now, name, dst, lane, deadline, key, customer, again)
+    take(now, name, dst, lane, deadline, key, customer, again, legs)
+                                                legs of an earlier life, each (host, sent at, ending or None)
     withdraw(now, name)                         nobody wants the message any more
     outcome(now, name, n, host, ending, took, wait, report, over)
+    may_leave(now, name, n)                     a call's connection is up: True if it may still leave
+    stop(now)                                   the relay is asked to end
     wake(now)                                   an asked-for wake-up
     settle(now)                                 the batch is read: held messages are released
 
@@ -19,12 +22,15 @@
 `left` (share of the allowance) and `limit` (calls a second), or None.
 
 Actions: ("send", name, host, until)  ("cancel", name, n)  ("push back", name, stay_away)  ("fail", name)
-("close", host)  ("wake", delay)  ("watch",)  ("log", text)
+("close", host)  ("wake", delay)  ("watch", wait)  ("log", text)  ("exit",)
+
+Beside it stands a table of the figures that a real relay's house holds to, HOUSE: shares of its limits on
+descriptors, memory and disk, sizes in bytes, times.
 
 Terms handed over at start, a plain map; any of them may be missing:
 
     relays, number (this relay's among them, from 0), area, slots, room, legs, cancel, copies,
-    stay_away (longest advice that clients heed), tick,
+    stay_away (longest advice that clients heed), tick, connect_within, idle_close,
     drain_grace, ask (the list answers only when asked), ask_within, cold, cold_from, overload, fall,
     rough (listed rates are), turn_gap, kinds (kind -> {apart, per_call}),
     customers (name -> quota a second), over_share (value kept),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -190,6 +190,7 @@
                     sock.sendall(part)
                 while part := sock.recv(65536):
                     got += part
+                    sock.settimeout(0.2)
             except OSError:
                 pass
             return got
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,7 +1,7 @@
 import pytest
 from helpers import MS, Relay, S, named
 
-from courseroute.decide import BOUND, CUT
+from courseroute.decide import BOUND, CUT, LEAVE
 from courseroute.model.types import Leg
 
 
@@ -120,6 +120,60 @@
     assert [act[0] for act in acts if act[0] in ("fail", "push back")] == ([answer] if answer else [])
 
 
+@pytest.mark.parametrize("lane, legs, done", [
+    ("once", [], "send"), ("once", [(1, None)], "fail"), ("once", [(1, "full"), (1, "unreachable")], "send"),
+    ("once", [(1, "full"), (1, "reset")], "fail"), ("keyed", [(1, None)], "send"),
+    ("keyed", [(5, None)], "fail"), ("keyed", [(5, "unsent"), (1, None)], "send"), ("zoned", [(1, None)], None),
+    ("retriable", [(9, None)], "send"), ("retriable", [(1, "error")] * 8, "push back"),
+])
+def test_a_message_of_an_earlier_life_goes_on_as_its_legs_allow(lane, legs, done):
+    relay = Relay()
+    legs = [("long gone", relay.now - ago * S, ending) for ago, ending in legs]
+    acts = relay.tell("take", "old", "d", lane, relay.now + 6 * S, None, None, False, legs)
+    assert [act[0] for act in acts] == ([done] if done else [])
+    ends = [act[0] for act in acts + relay.run(7 * S) if act[0] in ("fail", "push back")]
+    assert len(ends) == 1
+
+
+def test_a_key_rests_after_a_restart_and_its_messages_keep_their_order():
+    relay = Relay()
+    for name, legs in (("m1", [("a", relay.now, None)]), ("m2", [])):
+        assert not relay.tell("take", name, "d", "ordered", relay.now + 9 * S, "k", None, False, legs)
+    assert not relay.run(S - 10 * MS)
+    assert [act[1] for act in named(relay.run(20 * MS), "send")] == ["m1"]
+    relay.back("m1", "delivered", n=1)
+    assert [act[2] for act in relay.sends()] == ["m1", "m2"]
+
+
+def test_told_to_stop_it_gives_back_what_it_cannot_send_and_keeps_what_may_have_run():
+    relay = Relay(hosts=[("a", None)], slots=4)
+    for lane in ("retriable", "zoned", "retriable", "once"):
+        relay.take(lane)
+    relay.back("m2", "error")
+    relay.back("m1", "full", wait=3 * S)
+    relay.back("m2", "error", n=1)
+    given = [act[1] for act in named(relay.tell("stop"), "push back")]
+    acts = relay.run(LEAVE)
+    given += [act[1] for act in named(acts, "push back")]
+    assert sorted(given) == ["m1", "m3", "m4"] and not named(acts, "send") and acts[-1] == ("exit",)
+    assert not named(acts, "fail")
+    late, acts = relay.take()
+    assert [act[:2] for act in acts] == [("push back", late)]
+
+
+@pytest.mark.parametrize("what, told, may", [
+    (None, (), True), ("roster", ("changes", [("a", "draining", "z", 4.0, "plain", "d")]), False),
+    ("outcome", ("m2", 0, "a", "full", 0, S, None, False), False), ("withdraw", ("m1",), False),
+])
+def test_a_call_whose_connection_came_up_late_leaves_only_if_it_still_may(what, told, may):
+    relay = Relay()
+    relay.take()
+    relay.take()
+    if what:
+        relay.tell(what, *told)
+    assert relay.relay.may_leave(relay.now, "m1", 0) == may
+
+
 def test_a_window_that_closes_while_a_message_waits_ends_it():
     relay = Relay()
     name, _ = relay.take("keyed")
