--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -40,14 +40,16 @@
     async def run(self):
         told, house, terms = self.told, HOUSE, self.told["terms"]
         log = Log(told["state"], told["disk"], house["live"], house["log"])
+        most_calls = int(told["sockets"] * house["host_connections"])
+        terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
         dispatcher = Dispatcher(told["seed"], terms)
         self.desk = desk = Desk(dispatcher, terms, house, log, told["memory"], self.clock, say)
         listener = trio.socket.socket()
         listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         await listener.bind(told["listen"])
         async with trio.open_nursery() as nursery:
-            pool = Pool(int(told["sockets"] * house["host_connections"]),
-                        terms.get("idle_close", house["idle"]) * house["idle_share"], time.monotonic_ns)
+            keep_for = terms.get("idle_close", house["idle"]) * house["idle_share"]
+            pool = Pool(most_calls, keep_for, time.monotonic_ns)
             desk.hosts = Hosts(nursery, desk, pool, house, terms, self.clock, say)
             desk.notices = Notices(desk, house, told["discovery"], say)
             watch = Watch(terms["listed_rates"], None)
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -144,22 +144,28 @@
             while self.waiting:
                 what, told = self.waiting.popleft()
                 for act in self.decide(self.clock(), what, told):
-                    getattr(self, "do_" + act[0].replace(" ", "_"))(*act[1:])
+                    self.guarded(self.carry_out, act)
         finally:
             self.telling = False
 
     def decide(self, now, what, told):
-        """A fault in one decision must not end the relay, with all it holds; the next wake-up goes on."""
         acts = []
         for method, args in ((what, told), ("settle", ())):
-            try:
-                acts += getattr(self.dispatcher, method)(now, *args)
-            except Exception:
-                self.say("module failed", told=method, trace=traceback.format_exc()[-1500:])
-                self.dispatcher.armed = None
-                acts += [*self.dispatcher.said(), ("wake", self.house["sweep"])]
+            more = self.guarded(getattr(self.dispatcher, method), now, *args)
+            acts += [("wake", self.house["sweep"])] if more is None else more
         return acts
 
+    def guarded(self, what, *told):
+        """A fault in one decision must not end the relay with all it holds; a wake-up soon goes on."""
+        try:
+            return what(*told)
+        except Exception:
+            self.say("fault", at=what.__name__, trace=traceback.format_exc()[-1500:])
+            return None
+
+    def carry_out(self, act):
+        getattr(self, "do_" + act[0].replace(" ", "_"))(*act[1:])
+
     def do_send(self, name, host, until):
         msg, now = self.held[name], self.clock()
         n = len(msg.legs)
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -14,6 +14,7 @@
         self.desk, self.house, self.listener, self.most, self.log = desk, house, listener, most, log
         self.left = half_read
         self.open, self.idle, self.half = {}, {}, {}    # scopes; idle ones in that order; bytes in hand
+        self.since = {}                                 # when a request began
         self.closing = False
         self.full = False
 
@@ -53,6 +54,7 @@
             self.hold(sock, 0)
             self.open.pop(sock, None)
             self.idle.pop(sock, None)
+            self.since.pop(sock, None)
             sock.close()
 
     def give_up_idle(self):
@@ -79,6 +81,7 @@
                     await self.read(sock, stream, door)
                     continue
                 self.hold(sock, 0)
+                self.since.pop(sock, None)
                 if extra:
                     raise Refused(503, "no room for more connections")
                 status, headers, body = self.desk.answer(request, gone(sock))
@@ -96,11 +99,13 @@
 
     async def read(self, sock, stream, door):
         """Reads once; a silent peer is closed, sooner in the middle of a request."""
-        begun = door.begun
-        if not begun:
+        begun, data = door.begun, None
+        if begun:       # the whole request has its time: one that drips must not hold a place for ever
+            within, since = self.house["read_within"], self.since.setdefault(sock, trio.current_time())
+        else:
+            within, since = self.house["idle"], trio.current_time()
             self.idle[sock] = True
-        data = None
-        with trio.move_on_after(self.house["read_within" if begun else "idle"] / 1e9):
+        with trio.move_on_at(since + within / 1e9):
             data = await stream.receive_some(self.house["body"])
         self.idle.pop(sock, None)
         if data is None:
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -54,6 +54,7 @@
             except (*LOST, Refused, ValueError) as cause:
                 self.log("discovery failed", error=str(cause)[:200] or type(cause).__name__)
                 self.line.drop()
+                self.asked = trio.Event()       # what was asked meanwhile is answered by this failure
                 self.desk.tell("roster", "failed", [])
 
     async def get(self):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -187,7 +187,7 @@
             got = b""
             try:
                 for part in data if isinstance(data, list) else [data]:
-                    sock.sendall(part)
+                    time.sleep(part) if isinstance(part, float) else sock.sendall(part)
                 while part := sock.recv(65536):
                     got += part
                     sock.settimeout(0.2)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -159,7 +159,8 @@
     (HEAD + b"Connection: close\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", b" 202 "),
     ([HEAD + b"Connection: close\r\nContent-Length: 4\r\n\r\n", b"o", b"kok"], b" 202 "),
     (READY * 2 + READY.replace(b"Host", b"Connection: close\r\nHost"), b" 200 "),
-    (HEAD + b"Content-Length: 9\r\n\r\nshort", b" 408 "), (HEAD, b" 408 "), (b"\0" * 20000, b" 400 "),
+    ([HEAD + b"Content-Length: 9\r\n\r\n", 1.8, b"a", 1.8, b"b", 1.8, b"c"], b" 408 "), (HEAD, b" 408 "),
+    (b"\0" * 20000, b" 400 "),
 ], ids=range(18))
 def test_bad_input_gets_a_plain_answer_and_the_relay_serves_on(town, data, answer):
     town.start()
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,127 @@
+"""What is kept: the log's records and limits, the pool's connections, the desk's guard."""
+import os
+
+import pytest
+from helpers import MS, S
+
+from courseroute.decide import HOUSE
+from courseroute.state import log as records
+from courseroute.state.desk import Desk
+from courseroute.state.log import Full, Log, record
+from courseroute.state.pool import Pool
+
+
+@pytest.mark.parametrize("cut, whole", [(0, 3), (1, 2), (22, 2), (24, 1), (10 ** 6, 0)])
+def test_a_log_cut_anywhere_gives_back_its_whole_records(tmp_path, cut, whole):
+    log = Log(tmp_path, 10_000, 0.4, 0.5)
+    log.read()
+    for name in "abc":
+        log.write(record(records.TAKEN, [name], b"\n{body}\n"))
+    log.close()
+    size = os.path.getsize(log.path)
+    os.truncate(log.path, max(0, size - cut))
+    again = Log(tmp_path, 10_000, 0.4, 0.5)
+    assert again.read() == [(records.TAKEN, [name], b"\n{body}\n") for name in "abc"[:whole]]
+    again.write(record(records.OVER, ["z"]))
+    assert [told for _, told, _ in Log(tmp_path, 10_000, 0.4, 0.5).read()][whole:] == [["z"]]
+
+
+def test_a_flipped_byte_ends_the_reading_there(tmp_path):
+    log = Log(tmp_path, 10_000, 0.4, 0.5)
+    log.read()
+    log.write(record(records.TAKEN, ["a"], b"x" * 50), record(records.TAKEN, ["b"]))
+    data = bytearray(open(log.path, "rb").read())
+    data[40] ^= 1
+    open(log.path, "wb").write(data)
+    assert Log(tmp_path, 10_000, 0.4, 0.5).read() == []
+
+
+def test_compaction_keeps_what_is_live_and_a_log_that_is_full_says_so(tmp_path):
+    live = [record(records.TAKEN, [f"m{i}"], b"x" * 100) for i in range(30)]
+    log = Log(tmp_path, 10_000, 0.4, 0.5)
+    log.read()
+    log.alive = lambda: iter(live)
+    for _ in range(5):
+        log.write(*live[:10])
+        assert os.path.getsize(log.path) <= 5000
+    assert log.compacted
+    live.extend(live)       # more than fits, as when nothing ends
+    with pytest.raises(Full):
+        log.write(*live[:20])
+    live[30:] = []
+    log.write(live[0])
+    assert len(Log(tmp_path, 10_000, 0.4, 0.5).read()) >= 30
+
+
+def test_a_write_that_fails_leaves_nothing_torn_behind(tmp_path, monkeypatch):
+    log = Log(tmp_path, 10_000, 0.4, 0.5)
+    log.read()
+    log.write(record(records.TAKEN, ["a"]))
+    write, room = os.write, [10]
+
+    def short(file, data):
+        if not room[0]:
+            raise OSError(28, "No space left on device")
+        data, room[0] = data[:room[0]], 0
+        return write(file, data)
+    monkeypatch.setattr(os, "write", short)
+    with pytest.raises(Full):
+        log.write(record(records.TAKEN, ["b"], b"x" * 100))
+    monkeypatch.undo()
+    log.write(record(records.TAKEN, ["c"]))
+    assert [told for _, told, _ in Log(tmp_path, 10_000, 0.4, 0.5).read()] == [["a"], ["c"]]
+
+
+class Pipe:
+    """A connection over a real socket pair; `peer` is its other end."""
+
+    def __init__(self):
+        import socket
+        self.socket, self.peer = socket.socketpair()
+
+    def close(self):
+        self.socket.close()
+
+
+@pytest.mark.parametrize("age, spoil, reused", [
+    (0, None, True), (7 * S, None, True), (8 * S, None, False),
+    (0, lambda pipe: pipe.peer.close(), False), (0, lambda pipe: pipe.peer.send(b"x"), False),
+])
+def test_an_idle_connection_is_used_again_only_while_it_surely_stands(age, spoil, reused):
+    now = [100 * S]
+    pool = Pool(2, 8 * S, lambda: now[0])
+    assert pool.enter()
+    pipe = Pipe()
+    pool.keep("h", pipe)
+    now[0] += age
+    if spoil:
+        spoil(pipe)
+    assert (pool.idle("h") is pipe) == reused and pool.open == int(reused)
+
+
+def test_the_pool_is_bounded_and_idle_connections_make_room():
+    pool = Pool(2, 8 * S, lambda: 0)
+    assert pool.enter() and pool.enter() and not pool.enter()
+    pool.keep("h", Pipe())
+    assert pool.enter() and pool.open == 2 and not pool.enter()
+
+
+def test_a_fault_in_one_decision_does_not_end_the_relay(tmp_path):
+    said, wakes = [], []
+
+    class Broken:
+        def take(self, now, *told):
+            raise ValueError("odd")
+
+        def settle(self, now):
+            return [("no such action",)]
+    log = Log(tmp_path, 1_000_000, 0.4, 0.5)
+    log.read()
+    terms = {"lanes": {"notice": {}}}
+    clock, say = lambda: 5 * MS, lambda event, **told: said.append(event)
+    desk = Desk(Broken(), terms, HOUSE, log, 10 ** 8, clock, say)
+    desk.alarm, desk.ready = wakes.append, True
+    told = {"name": "a", "dst": "7", "lane": "notice", "left": S, "mark": "", "customer": "", "again": False,
+            "key": "", "body": b"x"}
+    assert desk.take(told, False) == (202, 0)
+    assert said == ["fault"] * 2 and wakes == [HOUSE["sweep"]]
