--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -1,6 +1,8 @@
 """Thin driver for the clients' connections: reads, feeds the machine, writes what it answers."""
 import errno
+import os
 import select
+import socket
 
 import trio
 
@@ -33,20 +35,20 @@
                 nursery.start_soon(self.connection, sock)
 
     async def connection(self, sock):
-        """A connection beyond the bound gets one plain 503, and far beyond it is just closed."""
+        """A connection beyond the bound gets a plain 503: for its request, or at once where far beyond it."""
         extra = len(self.open) >= self.most and not self.give_up_idle()
         if extra and not self.full:
             self.log("full of connections", open=len(self.open))
         self.full = extra
+        door = Door(self.house["head"], self.house["body"])
         if len(self.open) >= self.most + self.most // 8:
-            sock.close()
+            self.say_full(sock, door)
             return
         self.open[sock] = scope = trio.CancelScope()
         try:
             with scope:
-                door = Door(self.house["head"], self.house["body"])
                 await self.talk(sock, trio.SocketStream(sock), door, extra)
-        except OSError:
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as cause:      # a peer's odd bytes must cost its own connection only
             self.log("connection failed", error=repr(cause)[:300])
@@ -57,6 +59,14 @@
             self.since.pop(sock, None)
             sock.close()
 
+    def say_full(self, sock, door):
+        try:
+            os.write(sock.fileno(), door.answer(503, close=True))       # trio's sockets never block
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        sock.close()
+
     def give_up_idle(self):
         """Between requests a relay may close a connection: the longest idle one makes room."""
         if not self.idle:
@@ -94,7 +104,7 @@
                 await stream.send_eof()
                 while await stream.receive_some(self.house["body"]):
                     pass
-        except (EOFError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except EOFError:
             pass
 
     async def read(self, sock, stream, door):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -282,3 +282,29 @@
         thread.join()
     assert until(lambda: len({call["id"] for call in town.calls}) == 20)
     assert json.dumps(town.events()[0])
+
+
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGTERM])
+def test_nothing_is_lost_and_no_effect_comes_twice_while_hosts_fail_and_the_relay_restarts(town, how):
+    ran = []
+
+    def plan(call):
+        kind = call["n"] % 5
+        if kind in (1, 3):
+            return ["drop", (500, {})][kind // 3] if call["n"] % 2 else (503, {})
+        time.sleep(0.05 * kind)
+        ran.append(call["id"])
+        return (200, {})
+    town.plan = plan
+    town.start()
+    taken = {}
+    for life in range(3):
+        for i in range(12):
+            name, lane = f"{life}-{i}", ("notice", "order", "once")[i % 3]
+            if town.hand_in(name, lane, left="5000m") == 202:
+                taken[name] = lane
+        town.end(how)
+        town.start()
+    assert len(taken) > 10
+    assert until(lambda: set(taken) <= set(ran) | {notice["id"] for notice in town.notices}, 7)
+    assert all(ran.count(name) <= 1 for name, lane in taken.items() if lane == "once")
