--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+.PHONY: build test lint run
+PYTHON = .venv-test/bin/python
+
+build:
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install --disable-pip-version-check -r requirements.txt
+
+$(PYTHON): requirements.txt requirements-test.txt
+	test -x $@ || python3 -m venv .venv-test
+	.venv-test/bin/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-test.txt
+	touch $@
+
+test: $(PYTHON)
+	$(PYTHON) -m pytest -q
+
+lint: $(PYTHON)
+	.venv-test/bin/ruff check courseroute tests
+
+run: build
+	.venv/bin/python -m courseroute
