--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -83,7 +83,7 @@
 class Town:
     """Two hosts of destination 7, the platform, and the relay's folder; `plan` answers each call."""
 
-    def __init__(self, folder, limits=None, known=True):
+    def __init__(self, folder, limits=None, known=True, slots=8):
         self.folder, self.calls, self.notices, self.watches, self.news = folder, [], [], [], []
         self.plan, self.platform_status, self.relay = lambda call: (200, {}), None, None
         self.held = threading.Event()           # ends every hang
@@ -95,6 +95,7 @@
         (folder / "state").mkdir()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3} | (limits or {})
         self.known = known
+        self.settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {"call-slots": slots}}
 
     def stand(self, host, handler):
         server = http.server.ThreadingHTTPServer((host, 0), handler)
@@ -114,7 +115,8 @@
             def do_POST(self):
                 body = self.rfile.read(int(self.headers["Content-Length"]))
                 call = {"id": self.headers["X-Request-Id"], "host": name, "at": time.time(), "body": body,
-                        "key": self.headers["Idempotency-Key"], "n": len(town.calls)}
+                        "key": self.headers["Idempotency-Key"], "n": len(town.calls),
+                        "port": self.client_address[1]}
                 town.calls.append(call)
                 plan = town.plan(call)
                 if plan == "hang":
@@ -154,8 +156,8 @@
     def start(self, wait=True):
         known = {"index": 1, "snapshot": True, "endpoints": self.entries()} if self.known else None
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
-                  "known": known, "discovery": f"127.0.0.1:{self.platform.server_port}", "settings": SETTINGS,
-                  "limits": self.limits}
+                  "known": known, "discovery": f"127.0.0.1:{self.platform.server_port}",
+                  "settings": self.settings, "limits": self.limits}
         (self.folder / "config.json").write_text(json.dumps(config))
         env = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -242,6 +242,18 @@
         town.close()
 
 
+def test_a_call_that_follows_at_once_uses_the_connection_again(tmp_path):
+    town = Town(tmp_path, slots=1)
+    try:
+        town.plan = lambda call: time.sleep(0.1) or (200, {})
+        town.start()
+        assert [town.hand_in(f"m{i}") for i in range(8)] == [202] * 8
+        assert until(lambda: len(town.calls) == 8)
+        assert len({call["port"] for call in town.calls}) <= 2
+    finally:
+        town.close()
+
+
 def test_a_host_that_leaves_gets_nothing_more_though_it_was_told_while_calls_waited(town):
     town.start()
     town.news.append([entry for entry in town.entries(h1="leaving") if entry["name"] == "h1"])
