--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,5 +1,6 @@
 """What is kept: the log's records and limits, the pool's connections, the desk's guard."""
 import os
+import socket
 
 import pytest
 from helpers import MS, S
@@ -76,7 +77,6 @@
     """A connection over a real socket pair; `peer` is its other end."""
 
     def __init__(self):
-        import socket
         self.socket, self.peer = socket.socketpair()
 
     def close(self):
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,121 @@
+"""The state machines, fed bytes, and the words of the protocol."""
+import orjson
+import pytest
+from helpers import MS, S
+
+from courseroute.wire import words
+from courseroute.wire.discovery import Watch
+from courseroute.wire.http import Call, Door, Refused
+
+POST = (b"POST /order/x?subject=k HTTP/1.1\r\nHost: r\r\nX-Request-Id: m1\r\nX-Deadline: 1500m\r\n"
+        b"Envelope: dest=07\r\nIdempotency-Key: q\r\nContent-Length: 5\r\n\r\nhe\0lo")
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 64, len(POST) - 1, len(POST), 2 * len(POST)])
+def test_a_request_is_the_same_however_its_bytes_come(size):
+    door, found, data = Door(4096, 100), [], POST * 2
+    for at in range(0, len(data), size):
+        door.feed(data[at:at + size])
+        while request := door.next():
+            found.append((request.method, request.target, bytes(request.body)))
+            assert door.answer(202).startswith(b"HTTP/1.1 202 ")
+    assert found == [("POST", "/order/x?subject=k", b"he\0lo")] * 2 and not door.begun
+
+
+def test_a_body_read_at_once_is_a_slice_of_the_buffer_it_came_in():
+    door, chunk = Door(4096, 100), POST + POST[:20]
+    door.feed(chunk)
+    body = door.next().body
+    assert isinstance(body, memoryview) and body.obj is chunk and body == b"he\0lo"
+
+
+@pytest.mark.parametrize("data, outcome", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", (200, True, True)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", (200, True, False)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", (200, False, False)),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", (503, True, True)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 again", (200, True, False)),
+    (b"SSH-2.0 hello\r\n\r\n", Refused), (b"", Refused), (b"HTTP/1.1 2", (None, False, False)),
+    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, Refused),
+])
+def test_an_answer_in_one_read_or_byte_by_byte(data, outcome):
+    for size in (1, len(data) or 1):
+        call = Call(4096)
+        call.begin("POST", "/hook", [("Host", "h")], b"body")
+
+        def hear(call=call, size=size):
+            for at in range(0, len(data) or 1, size):
+                call.feed(data[at:at + size])
+            return call.status, call.done, call.reusable()
+        if outcome is Refused:
+            with pytest.raises((Refused, EOFError)):
+                hear()
+        elif size > 1 or outcome[2]:
+            assert hear() == outcome
+
+
+def request_of(change=b"", to=b""):
+    door = Door(4096, 100)
+    door.feed(POST.replace(change, to) if change else POST)
+    return door.next()
+
+
+@pytest.mark.parametrize("change, to, told", [
+    (b"", b"", {}), (b"1500m", b"2500u", {"left": 2_500_000}), (b"1500m", b"0.5m", {"left": 500_000}),
+    (b"?subject=k", b"", {"key": ""}), (b"Host: r", b"X-Retry: again\r\nHost: r", {"again": True}),
+    (b"Host: r", b"X-Tenant: acme\r\nHost: r", {"customer": "acme"}), (b"/order/x", b"/never", 404),
+    (b"Host: r", b"X-Class: notice\r\nHost: r", 400), (b"m1", b"m" * 200, 400), (b"m1", b"", 400),
+    (b"dest=07", b"dest=-1", 400), (b"Envelope: ", b"Other: ", 400), (b"X-Deadline: ", b"Other: ", 400),
+    (b"1500m", b"1500", 400), (b"1500m", b"1e3m", 400), (b"POST", b"PUT", 405),
+])
+def test_what_a_client_says(change, to, told):
+    usual = {"name": "m1", "dst": "7", "lane": "order", "left": 1500 * MS, "mark": "q", "customer": "",
+             "again": False, "key": "k", "body": b"he\0lo"}
+    if isinstance(told, int):
+        with pytest.raises(Refused) as refused:
+            words.notice_of(request_of(change, to), {"order": {}, "notice": {}})
+        assert refused.value.status == told
+    else:
+        assert words.notice_of(request_of(change, to), {"order": {}, "notice": {}}) == usual | told
+
+
+@pytest.mark.parametrize("status, headers, ending", [
+    (200, {}, ("delivered", 0, True)), (500, {}, ("error", 0, False)), (302, {}, ("error", 0, False)),
+    (429, {"wait-ms": "750"}, ("full", 750 * MS, False)), (429, {}, ("full", 0, False)),
+    (429, {"wait-ms": "soon"}, ("full", 0, False)), (503, {}, ("full", 0, False)),
+    (503, {"slots-taken": "1"}, ("unsent", 0, False)), (504, {}, ("unsent", 0, False)),
+    (410, {}, ("unsent", 0, True)),
+])
+def test_what_an_answer_means(status, headers, ending):
+    assert words.ending_of(status, headers) == ending
+
+
+@pytest.mark.parametrize("text, report", [
+    ("TEXT x0=0.4, x1=25", {"left": 0.4, "limit": 25.0}), ("TEXT x0=0.4", None), (None, None),
+    ("TEXT x0=e, x1=1", None), ("TEXT x0=0,x1=0", {"left": 0.0, "limit": 0.0}),
+])
+def test_reports(text, report):
+    assert words.report_of(text) == report
+
+
+ENTRY = {"name": "h", "address": "127.0.0.1:80", "zone": "z", "type": "k", "group": 3, "status": "leaving"}
+
+
+def test_a_watch_goes_on_from_its_version_and_asks_for_all_after_a_bad_answer():
+    watch = Watch(False, 4)
+    assert watch.target(2 * S) == "/v1/endpoints?index=4&wait=2000"
+    told = orjson.dumps({"index": 5, "snapshot": False, "endpoints": [ENTRY]})
+    entry = ("h", "draining", "z", None, "k", "3")
+    assert watch.answer(200, told) == ["changes", [entry], {"h": ("127.0.0.1", 80)}]
+    for status, body in ((503, b""), (200, told)):      # a failed call leaves the version as it is
+        assert watch.index == 5
+        if status == 200:
+            watch.answer(status, body)
+        else:
+            with pytest.raises(ValueError):
+                watch.answer(status, body)
+    for body in (b"", b"[]", b"{}", b'{"index":6,"endpoints":[{}]}', b'{"index":6,"endpoints":7}'):
+        watch.index = 5
+        with pytest.raises(ValueError):
+            watch.answer(200, body)
+        assert watch.target(S) == "/v1/endpoints"
