--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -36,10 +36,11 @@
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
 # The relay's house: shares of its descriptors, memory and disk, then sizes, then times.
 HOUSE = {
-    "client_connections": 0.5, "host_connections": 0.3, "half_read": 0.1, "held": 0.25, "live": 0.35,
-    "log": 0.5, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "ends": 1024, "idle": 60 * S,
-    "idle_share": 0.8, "read_within": 5 * S, "write_within": 2 * S, "list_within": 2 * S, "sweep": S // 2,
-    "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5}
+    "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
+    "live": 0.42, "log": 0.5, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256, "ends": 1024,
+    "legs": 8, "backlog": 512, "idle": 60 * S, "idle_share": 0.8, "read_within": 5 * S, "write_within": 2 * S,
+    "list_within": 2 * S, "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2,
+    "last_words": S // 5, "sweep": S // 2}
 
 
 class Dispatcher(Agenda):
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -59,9 +59,11 @@
             desk.tell("start")
             self.learn_known(watch)
             desk.recover()
-            self.clients = Clients(desk, house, listener, int(told["sockets"] * house["client_connections"]),
-                                   int(told["memory"] * house["half_read"]), say)
-            listener.listen(1024)
+            most, refusing = (
+                int(told["sockets"] * house[name]) for name in ("client_connections", "refusing"))
+            half_read = int(told["memory"] * house["half_read"])
+            self.clients = Clients(desk, house, listener, most, refusing, half_read, say)
+            listener.listen(house["backlog"])
             desk.ready = True
             self.enter(Phase.SERVING, restored=len(desk.held), owed=len(desk.owed))
             for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms,
@@ -90,7 +92,7 @@
         self.clients.close_idle()
         with trio.move_on_after(HOUSE["last_words"] / 1e9):
             while self.clients.open or self.desk.owed:
-                await trio.sleep(HOUSE["last_words"] / 2e10)
+                await trio.sleep(HOUSE["notice_pause"] / 1e9)
         listener.close()
 
     async def stop_on_signal(self):
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -10,7 +10,7 @@
 from courseroute.state.log import Full, record
 from courseroute.wire import words
 
-LEG, NOTICE = 160, 80       # bytes of such a record in the log at most, beside the message's name
+LEG, NOTICE, END = 160, 80, 40      # bytes of such a record in the log, beside the message's name
 
 
 class Held:
@@ -51,7 +51,7 @@
         if request.target in ("/ready", "/health"):
             return (200 if self.ready or request.target == "/health" else 503), (), b""
         try:
-            told = words.notice_of(request, self.terms["lanes"])
+            told = words.notice_of(request, self.terms["lanes"], self.house["name"])
         except words.Refused as cause:
             return cause.status, (), f"{cause}\n".encode()
         status, after = self.take(told, gone)
@@ -91,7 +91,7 @@
         return fits
 
     def measure(self, msg):
-        msg.size = len(msg.record()) + self.terms.get("legs", 8) * (LEG + len(msg.name))
+        msg.size = len(msg.record()) + self.terms.get("legs", self.house["legs"]) * (LEG + len(msg.name))
         return msg.size
 
     def count(self, size):
@@ -234,9 +234,16 @@
         del self.held[msg.name]
         self.count(-msg.size)
         if state:
-            self.ends[msg.name] = state
-            while len(self.ends) > self.house["ends"]:
-                self.ends.popitem(last=False)
+            self.remember(msg.name, state)
+
+    def remember(self, name, state):
+        """Recent ends answer a message that is handed in once more."""
+        if name not in self.ends:
+            self.count(END + len(name))
+        self.ends[name] = state
+        while len(self.ends) > self.house["ends"]:
+            old, _ = self.ends.popitem(last=False)
+            self.count(-END - len(old))
 
     # The log.
 
@@ -267,7 +274,7 @@
             if kind in (records.OWED, records.OVER):
                 if msg is not None:
                     self.forget(msg, told[1])
-                self.ends[name] = told[1]
+                self.remember(name, told[1])
             if kind == records.OVER:
                 self.owed.pop(name, None)
         self.count(sum(NOTICE + len(name) for name in self.owed))
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -12,8 +12,9 @@
 class Clients:
     """Bounded: so many connections, so many bytes of half-read requests; a full house answers 503."""
 
-    def __init__(self, desk, house, listener, most, half_read, log):
-        self.desk, self.house, self.listener, self.most, self.log = desk, house, listener, most, log
+    def __init__(self, desk, house, listener, most, refusing, half_read, log):
+        self.desk, self.house, self.listener, self.log = desk, house, listener, log
+        self.most, self.refusing = most, refusing       # connections served, and those that hear a 503
         self.left = half_read
         self.open, self.idle, self.half = {}, {}, {}    # scopes; idle ones in that order; bytes in hand
         self.since = {}                                 # when a request began
@@ -41,7 +42,7 @@
             self.log("full of connections", open=len(self.open))
         self.full = extra
         door = Door(self.house["head"], self.house["body"])
-        if len(self.open) >= self.most + self.most // 8:
+        if len(self.open) >= self.most + self.refusing:
             self.say_full(sock, door)
             return
         self.open[sock] = scope = trio.CancelScope()
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -9,7 +9,7 @@
 class Link:
     def __init__(self, head_limit, body_limit=0):
         self.call = Call(head_limit, body_limit)
-        self.chunk = max(head_limit, body_limit and 4 * head_limit)
+        self.chunk = head_limit
         self.socket = trio.socket.socket()
         self.stream = None
 
--- a/courseroute/wire/words.py
+++ b/courseroute/wire/words.py
@@ -21,8 +21,8 @@
     return f"{max(1, ns // UNITS['m'])}m"
 
 
-def notice_of(request, lanes):
-    """What a client hands in, as a plain map; anything odd is refused with a plain answer."""
+def notice_of(request, lanes, longest):
+    """What a client hands in, as a plain map; what is odd, or longer than names may be, is refused."""
     path, _, query = request.target.partition("?")
     lane = path.lstrip("/").split("/")[0]
     told = request.headers
@@ -34,15 +34,15 @@
         raise Refused(400, "class and path differ")
     envelope = dict(pair.strip().partition("=")[::2] for pair in re.split("[;,]", told.get("envelope", "")))
     name, dst, key = told.get("x-request-id", ""), envelope.get("dest", ""), told.get("idempotency-key", "")
-    if not name or len(name) > 128 or ODD.search(name):
+    if not name or len(name) > longest or ODD.search(name):
         raise Refused(400, "X-Request-Id is missing or odd")
     if not re.fullmatch(r"\d{1,9}", dst):
         raise Refused(400, "Envelope names no destination")
-    if len(key) > 256 or ODD.search(key):
+    if len(key) > longest or ODD.search(key):
         raise Refused(400, "Idempotency-Key is odd")
     return {"name": name, "dst": str(int(dst)), "lane": lane, "left": span_of(told.get("x-deadline", "")),
-            "mark": key, "customer": told.get("x-tenant", "")[:128], "again": "x-retry" in told,
-            "key": dict(parse_qsl(query)).get("subject", "")[:256], "body": request.body}
+            "mark": key, "customer": told.get("x-tenant", "")[:longest], "again": "x-retry" in told,
+            "key": dict(parse_qsl(query)).get("subject", "")[:longest], "body": request.body}
 
 
 def call_head(msg, left):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -7,7 +7,7 @@
 
 from courseroute.decide import HOUSE
 from courseroute.state import log as records
-from courseroute.state.desk import Desk
+from courseroute.state.desk import END, Desk
 from courseroute.state.log import Full, Log, record
 from courseroute.state.pool import Pool
 from courseroute.wire.notices import Notices
@@ -178,6 +178,8 @@
     assert [told[0] for told in again.dispatcher.told] == list(again.held)
     assert list(again.notices.lines) == (["a"] if end in ("returned", "failed") else [])
     assert again.take(TOLD, False)[0] == {None: 202, "returned": 503, "failed": 500, "delivered": 200}[end]
-    assert again.bytes == again.log.live > 0 or end == "delivered"
     again.told_of(list(again.notices.lines))
-    assert not again.owed and again.bytes == sum(msg.size for msg in again.held.values())
+    ends = sum(END + len(name) for name in again.ends)
+    assert not again.owed and again.bytes == ends + sum(msg.size for msg in again.held.values())
+    again.log.compact()
+    assert again.log.size <= again.bytes
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -73,10 +73,10 @@
              "again": False, "key": "k", "body": b"he\0lo"}
     if isinstance(told, int):
         with pytest.raises(Refused) as refused:
-            words.notice_of(request_of(change, to), {"order": {}, "notice": {}})
+            words.notice_of(request_of(change, to), {"order": {}, "notice": {}}, 100)
         assert refused.value.status == told
     else:
-        assert words.notice_of(request_of(change, to), {"order": {}, "notice": {}}) == usual | told
+        assert words.notice_of(request_of(change, to), {"order": {}, "notice": {}}, 100) == usual | told
 
 
 @pytest.mark.parametrize("status, headers, ending", [
