--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -1,9 +1,9 @@
 """Every decision of courseroute: Schedule, Don't Throttle, and the guards around it.
 
-Called by an adapter: one Dispatcher(seed, terms) a relay, one method for each thing told, each returning
-plain tuples; `settle` closes a batch. The interface stands in courseroute/model/interface.py, the reasons in
-docs/design.md. A message passes admit -> turn -> book -> release -> pick -> send; what returns comes
-back through `outcome`.
+Called by the relay's desk or the simulator's adapter: one Dispatcher(seed, terms) a relay, one method for
+each thing told, each returning plain tuples; `settle` closes a batch. The interface stands in
+courseroute/model/interface.py, the reasons in docs/design.md. A message passes admit -> turn -> book ->
+release -> pick -> send; what returns comes back through `outcome`.
 """
 import heapq
 import random
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -11,8 +11,9 @@
     with open(environ["ROUTER_CONFIG"], "rb") as file:
         told = orjson.loads(file.read())
     terms = terms_of(paths_of(told.get("settings", {})))
+    terms["ask"] = True             # on sockets the list answers only when asked,
     for kind in terms["kinds"].values():
-        kind["per_call"] = 1        # the protocol has single calls
+        kind["per_call"] = 1        # and calls are single, whatever the settings say
     limits = told.get("limits", {})
     return {
         "name": told.get("name", environ.get("ROUTER_NAME", "")),
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -39,8 +39,10 @@
         """A connection beyond the bound gets a plain 503: for its request, or at once where far beyond it."""
         extra = len(self.open) >= self.most and not self.give_up_idle()
         if extra and not self.full:
+            self.full = True
             self.log("full of connections", open=len(self.open))
-        self.full = extra
+        elif len(self.open) < self.most - self.refusing:
+            self.full = False
         door = Door(self.house["head"], self.house["body"])
         if len(self.open) >= self.most + self.refusing:
             self.say_full(sock, door)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,6 +3,7 @@
 import pytest
 from helpers import MS, S
 
+from courseroute.run import config
 from courseroute.wire import words
 from courseroute.wire.discovery import Watch
 from courseroute.wire.http import Call, Door, Refused
@@ -119,3 +120,24 @@
         with pytest.raises(ValueError):
             watch.answer(200, body)
         assert watch.target(S) == "/v1/endpoints"
+
+
+@pytest.mark.parametrize("settings, expected", [
+    ({"discovery": "pushed", "kinds": ["k", "l"],
+      "family-info": {"per-call": [5, 1], "routes-apart": [True, False], "call-slots": 9}},
+     {"ask": True, "slots": 9,
+      "kinds": {"k": {"apart": True, "per_call": 1}, "l": {"apart": False, "per_call": 1}}}),
+    ({"tick": 5000, "permissions": {"idle-close": 10_000_000, "retry-after": False, "cancel": True}},
+     {"tick": 5 * MS, "idle_close": 10 * S, "stay_away": 0, "cancel": True}),
+    ({"grades": [{"name": "a b", "effect": "token", "deadline": 7, "worth": 2.0, "by-arrival": True}],
+      "parties": [{"name": "t", "quota-per-s": 2.5}]},
+     {"customers": {"t": 2.5},
+      "lanes": {"a b": {"effect": "keyed", "deadline": 7000, "value": 2.0, "ordered": True}}}),
+])
+def test_what_is_read_at_start(tmp_path, settings, expected):
+    told = {"name": "n", "listen": "127.0.0.4:8081", "discovery": "127.0.0.1:8500", "seed": "ff",
+            "known": None, "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "settings": settings}
+    (tmp_path / "c").write_bytes(orjson.dumps(told))
+    read = config.read({"ROUTER_CONFIG": str(tmp_path / "c"), "ROUTER_STATE": "/s"})
+    assert expected.items() <= read["terms"].items()
+    assert (read["listen"], read["seed"], read["disk"]) == (("127.0.0.4", 8081), 255, 3_000_000)
