--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -104,7 +104,8 @@
                     self.clients.close_idle()
 
     def set_alarm(self, delay):
-        self.alarm_at = self.clock() + delay
+        at = self.clock() + delay
+        self.alarm_at = min(at, self.alarm_at or at)
         self.alarm_set.set()
 
     async def alarms(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -178,6 +178,19 @@
     assert not town.calls
 
 
+def test_what_clients_gave_up_while_the_relay_stood_still_stays_theirs(town):
+    """Their requests wait in the sockets; taken on late, they would be sent beside those handed in anew."""
+    town.start()
+    town.relay.send_signal(signal.SIGSTOP)
+    for _ in range(5):
+        with socket.create_connection(("127.0.0.1", town.port)) as sock:
+            sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
+    town.relay.send_signal(signal.SIGCONT)
+    assert town.hand_in("after") == 202 and until(lambda: town.calls)
+    time.sleep(0.2)
+    assert [call["id"] for call in town.calls] == ["after"]
+
+
 @pytest.mark.parametrize("limits, size, cap", [
     ({}, 10, 100), ({"disk_mb": 1}, 60000, 6), ({"memory_mb": 2}, 60000, 8),
 ])
