--- a/Makefile
+++ b/Makefile
@@ -5,15 +5,15 @@
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install --disable-pip-version-check -r requirements.txt
 
-$(PYTHON): requirements.txt requirements-test.txt
-	test -x $@ || python3 -m venv .venv-test
+.venv-test/.installed: requirements.txt requirements-test.txt
+	test -x $(PYTHON) || python3 -m venv .venv-test
 	.venv-test/bin/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-test.txt
 	touch $@
 
-test: $(PYTHON)
+test: .venv-test/.installed
 	$(PYTHON) -m pytest -q
 
-lint: $(PYTHON)
+lint: .venv-test/.installed
 	.venv-test/bin/ruff check courseroute tests
 
 run: build
