SIGHUP rereads the configuration: list, watch and notices move to the new address

Ruled out: the log shows no fault and no exception before it; run/relay.py installed handlers for SIGTERM and SIGINT only, so the signal's default ended the process. At fault: Relay.stop_on_signal, and Line/Discovery, which kept one place for life. Now the file is read anew, the watch that waits at the old address is cancelled and the whole list asked of the new one at once, notices are dialled to it; what can't be read changes nothing, and what waits for a start is named in the log. Test: three cases with the old directory serving, failing, gone.

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -6,6 +6,7 @@
 import trio
 
 from courseroute.decide import HOUSE, Dispatcher
+from courseroute.run import config
 from courseroute.run.logbook import say
 from courseroute.state.desk import Desk
 from courseroute.state.log import Log
@@ -38,7 +39,7 @@
         say("phase", phase=phase.value, **figures)
 
     async def run(self):
-        told, house, terms = self.told, HOUSE, self.told["terms"]
+        told, house, terms = self.told, HOUSE, dict(self.told["terms"])
         log = Log(told["state"], told["disk"], house["live"], house["log"])
         most_calls = int(told["sockets"] * house["host_connections"])
         terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
@@ -66,8 +67,8 @@
             listener.listen(house["backlog"])
             desk.ready = True
             self.enter(Phase.SERVING, restored=len(desk.held), owed=len(desk.owed))
-            for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms,
-                         self.stop_on_signal):
+            await nursery.start(self.heed_signals)
+            for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms):
                 nursery.start_soon(task)
             nursery.start_soon(self.sweep, pool)
             await self.left.wait()
@@ -95,14 +96,32 @@
                 await trio.sleep(HOUSE["notice_pause"] / 1e9)
         listener.close()
 
-    async def stop_on_signal(self):
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                if self.phase is Phase.SERVING:
+    async def heed_signals(self, task_status):
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self.reread()
+                elif self.phase is Phase.SERVING:
                     self.enter(Phase.LEAVING, held=len(self.desk.held))
                     self.desk.tell("stop")
                     self.clients.close_idle()
 
+    def reread(self):
+        """A new configuration: the directory moves at once, all held is kept, the rest waits."""
+        try:
+            told = config.read()
+        except (OSError, ValueError, LookupError, TypeError, AttributeError) as cause:
+            say("configuration not read, the old one stays", error=repr(cause)[:200])
+            return
+        place = told["discovery"]
+        later = sorted(name for name in told if name not in ("discovery", "known")
+                       and told[name] != self.told[name])
+        say("configuration read", discovery=place, moved=place != self.told["discovery"], at_next_start=later)
+        if place != self.told["discovery"]:
+            self.told["discovery"] = self.desk.notices.line.place = place
+            self.desk.discovery.move(place)
+
     def set_alarm(self, delay):
         at = self.clock() + delay
         self.alarm_at = min(at, self.alarm_at or at)
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -34,12 +34,19 @@
     def __init__(self, desk, hosts, house, place, watch, log):
         self.desk, self.hosts, self.house, self.watch, self.log = desk, hosts, house, watch, log
         self.line = Line(place, house["head"], house["list"])
-        self.wait, self.asked = None, trio.Event()
+        self.wait, self.asked, self.asking = None, trio.Event(), trio.CancelScope()
 
     def ask(self, wait):
         self.wait = wait
         self.asked.set()
 
+    def move(self, place):
+        """The directory is elsewhere from now on: what waits at the old one is asked of the new at once."""
+        self.line.place, self.watch.index = place, None     # its versions are its own: the whole list first
+        self.asking.cancel()
+        if self.wait is not None:
+            self.asked.set()
+
     def learn(self, scope, entries, where):
         self.hosts.where.update(where)
         self.desk.tell("roster", scope, entries)
@@ -49,8 +56,10 @@
             await self.asked.wait()
             self.asked = trio.Event()
             try:
-                while True:
-                    self.learn(*self.watch.answer(*await self.get()))
+                with trio.CancelScope() as self.asking:
+                    while True:
+                        self.learn(*self.watch.answer(*await self.get()))
+                self.line.drop()
             except (*LOST, Refused, ValueError) as cause:
                 self.log("discovery failed", error=str(cause)[:200] or type(cause).__name__)
                 self.line.drop()
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -38,17 +38,20 @@
 
 
 class Line:
-    """One kept link to one place, opened anew when it broke; one exchange at a time."""
+    """One kept link to one place, opened anew when it broke or the place moved; one exchange at a time."""
 
     def __init__(self, place, head_limit, body_limit=0):
-        self.place, self.limits, self.link = place, (head_limit, body_limit), None
+        self.place, self.limits, self.link, self.dialled = place, (head_limit, body_limit), None, None
 
     async def exchange(self, within, method, target, headers, body=b""):
         """(status, body) of the answer; raises one of LOST or Refused where none came in time."""
+        if self.dialled != self.place:      # the place moved while the link stood idle
+            self.drop()
         kept = self.link is not None
         try:
             with trio.move_on_after(within / 1e9):
                 if not kept:
+                    self.dialled = self.place
                     self.link = await Link(*self.limits).dial(self.place)
                 await self.link.send(method, target, headers, body)
                 await self.link.hear_all()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -85,6 +85,7 @@
 
     def __init__(self, folder, limits=None, known=True, slots=8):
         self.folder, self.calls, self.notices, self.watches, self.news = folder, [], [], [], []
+        self.posts = []
         self.plan, self.platform_status, self.relay = lambda call: (200, {}), None, None
         self.held = threading.Event()           # ends every hang
         self.hosts = {name: self.stand("127.0.0.1", self.host(name)) for name in ("h1", "h2")}
@@ -133,7 +134,7 @@
 
         class Handler(Quiet):
             def do_GET(self):
-                town.watches.append((time.time(), self.path))
+                town.watches.append((time.time(), self.path, self.server.server_port))
                 if town.platform_status:
                     return self.say(town.platform_status, {})
                 asked = re.search(r"index=(\d+)", self.path)
@@ -149,16 +150,20 @@
                 body = self.rfile.read(int(self.headers["Content-Length"]))
                 if town.platform_status:
                     return self.say(town.platform_status, {})
+                town.posts.append(self.server.server_port)
                 town.notices += [json.loads(line) for line in body.splitlines()]
                 self.say(204, {})
         return Handler
 
-    def start(self, wait=True):
+    def configure(self):
         known = {"index": 1, "snapshot": True, "endpoints": self.entries()} if self.known else None
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
                   "known": known, "discovery": f"127.0.0.1:{self.platform.server_port}",
                   "settings": self.settings, "limits": self.limits}
         (self.folder / "config.json").write_text(json.dumps(config))
+
+    def start(self, wait=True):
+        self.configure()
         env = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.log = open(self.folder / "out", "ab")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -333,3 +333,32 @@
     assert len(taken) > 10
     assert until(lambda: set(taken) <= set(ran) | {notice["id"] for notice in town.notices}, 7)
     assert all(ran.count(name) <= 1 for name, lane in taken.items() if lane == "once")
+
+
+@pytest.mark.parametrize("old", ["serves", "fails", "gone"])
+def test_a_new_configuration_moves_list_watch_and_notices_and_keeps_all_held(town, old):
+    town.plan = lambda call: (429, {"Wait-Ms": "3000"}) if call["n"] == 0 else (200, {})
+    town.platform_status = 503 if old == "fails" else None
+    town.start()
+    assert town.hand_in("a") == 202 and until(lambda: town.calls)
+    left, town.platform = town.platform, town.stand("127.0.0.1", town.platform_handler())
+    if old == "gone":
+        left.shutdown()
+        left.server_close()
+    town.platform_status, count = None, len(town.watches)
+    (town.folder / "config.json").write_text("{")
+    town.relay.send_signal(signal.SIGHUP)       # what can't be read changes nothing
+    assert until(lambda: any("not read" in event["event"] for event in town.events()))
+    town.configure()
+    town.relay.send_signal(signal.SIGHUP)
+    here = [f"/v1/endpoints{ask}" for ask in ("", "?index=1&wait=2500")]
+    assert until(lambda: [path for _, path, port in town.watches[count:]
+                          if port == town.platform.server_port][:2] == here, 1)
+    town.posts.clear()
+    town.plan = lambda call: "drop" if call["id"] == "b" else (200, {})
+    assert until(lambda: len(town.sent("a")) == 2, 5) and town.hand_in("b", "once") == 202
+    assert until(lambda: town.notices == [{"id": "b", "state": "failed"}])
+    assert set(town.posts) == {town.platform.server_port} and town.relay.poll() is None
+    if old != "gone":
+        left.shutdown()
+        left.server_close()
