A request with Content-Length and Transfer-Encoding is refused: none hides in its body

Ruled out with a probe that printed each request and answer: conflicting and bad lengths, odd chunks and heads were refused already; h11 lets Transfer-Encoding win over Content-Length. At fault: Door.begin in wire/http.py. Test: both orders of the two heads, fails without the fix.

--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -70,6 +70,8 @@
             raise Refused(431, "head too large")        # h11 bounds only heads that come in pieces
         for name, value in event.headers:
             headers.setdefault(name.decode("latin-1"), value.decode("latin-1"))
+        if "content-length" in headers and "transfer-encoding" in headers:
+            raise Refused(400, "two lengths")       # a reader of the other one finds a request in the body
         length = headers.get("content-length", "0")
         if length.isdigit() and int(length) > self.body_limit:
             raise Refused(413, "body too large")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,5 @@
 """The program itself, started as the deploy file has it and spoken to over sockets."""
+import itertools
 import json
 import signal
 import socket
@@ -161,11 +162,14 @@
     (READY * 2 + READY.replace(b"Host", b"Connection: close\r\nHost"), b" 200 "),
     ([HEAD + b"Content-Length: 9\r\n\r\n", 1.8, b"a", 1.8, b"b", 1.8, b"c"], b" 408 "), (HEAD, b" 408 "),
     (b"\0" * 20000, b" 400 "),
-], ids=range(18))
+    *((HEAD + b"".join(lengths) + b"\r\n0\r\n\r\n" + HEAD.replace(b": z", b": hidden")
+       + b"Content-Length: 0\r\n\r\n", b" 400 ")
+      for lengths in itertools.permutations([b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"])),
+], ids=range(20))
 def test_bad_input_gets_a_plain_answer_and_the_relay_serves_on(town, data, answer):
     town.start()
     assert answer in town.raw(data, within=8).split(b"\r\n")[0] + b" "
-    assert town.hand_in("after") == 202 and until(lambda: town.sent("after"))
+    assert town.hand_in("after") == 202 and until(lambda: town.sent("after")) and not town.sent("hidden")
 
 
 def test_a_client_that_is_gone_before_its_answer_keeps_its_message(town):
