A withdrawn message's booking is free again for those behind it

A probe of every outcome showed why: clients give up after about a second there, the host answers such a call 410 at once, and nearly all calls of two destinations came back so while the reports said 90% of the limit was left. Each 410 had used up a place on the cursor, so the backlog's head was always dead by its turn. Ruled out: hosts set aside (none at those destinations then), slots, resets (the answers lost at 20-33 s are all made up for). At fault: outcome() in decide.py, which counted an unsent call as spent. Could do harm where a host counts a 410 against the limit.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -1,9 +1,8 @@
 """Every decision of courseroute: Schedule, Don't Throttle, and the guards around it.
 
-Called by the relay's desk or the simulator's adapter: one Dispatcher(seed, terms) a relay, one method for
-each thing told, each returning plain tuples; `settle` closes a batch. The interface stands in
-courseroute/model/interface.py, the reasons in docs/design.md. A message passes admit -> turn -> book ->
-release -> pick -> send; what returns comes back through `outcome`.
+One Dispatcher(seed, terms) a relay, a method for each thing told, returning plain tuples; `settle` closes a
+batch. The interface stands in courseroute/model/interface.py, the reasons in docs/design.md. A message
+passes admit -> turn -> book -> release -> pick -> send; what returns comes back through `outcome`.
 """
 import heapq
 import random
@@ -59,8 +58,6 @@
         for name, told in terms.get("lanes", {}).items():
             self.lanes[name] = Lane(name, **told, calls=Histogram(EDGES, MEMORY))
 
-    # What is told.
-
     def start(self, now):
         if self.terms.get("ask"):
             self.plan_watch(now, 0)
@@ -157,6 +154,9 @@
         self.judge(now, host, ending, leg, alone)
         if over:
             self.finish(now, msg)
+            if ending == "unsent":  # its booking is free again, lest the withdrawn hold up the living
+                rt.spent = max(0, rt.spent - 1)
+                self.rebook(now, rt)
         elif not msg.over and not msg.out:
             msg.seq = 0         # a fresh booking, where the lane still allows one
             self.book(now, msg)
@@ -166,7 +166,8 @@
 
     def settle(self, now):
         self.run_due(now)
-        self.release(now)
+        if now < self.closing:
+            self.release(now)
         self.arm(now)
         return self.said()
 
@@ -363,8 +364,6 @@
 
     def release(self, now):
         heads = []
-        if now >= self.closing:
-            return
         for rt in list(self.lined.values()):
             self.push_head(heads, rt)
         while heads:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -421,3 +421,19 @@
     relay.relay.measured[0] = relay.relay.dsts["d"]
     relay.run(1100 * MS)
     assert named(relay.take()[1], "send")[0][2] == first
+
+
+def test_bookings_of_withdrawn_messages_are_free_again_for_those_behind_them():
+    """Clients that gave up: each dead message would cost a place, and the next ones die waiting."""
+    relay = refused_relay()
+    relay.run(2 * S)
+    relay.back("m1", "delivered", n=1)
+    names = [relay.take()[0] for _ in range(20)]
+    dead, seen = set(names[:15]), 2
+    for _ in range(300):
+        relay.run(5 * MS)
+        fresh, seen = relay.sends()[seen:], len(relay.sends())
+        for _, _, name, *_ in fresh:
+            relay.back(name, "unsent" if name in dead else "delivered", over=True, took=5 * MS)
+    alive = [act[0] for act in relay.sends() if act[2] in names and act[2] not in dead]
+    assert len(alive) == 5 and alive[-1] - alive[0] > 900 * MS      # the living keep the pace of the limit
