Silent crowds make room and end within 2 s; messages to nowhere are pushed back

Ruled out: heads, lengths, chunks, ids, 60 MB bodies (all answered within 0.3 s). At fault: decide.py admit() and destination(), which made a place for any number; Clients.read and give_up_idle, which knew no difference between who never asked and who stands between requests; nothing bounded a deadline.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -16,17 +16,13 @@
 HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.7, 60 * S   # the budget, as the design page has it
 LEAST, PART = 1.0, 0.1                                      # a second: cuts leave all relays, each one's part
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
-MEMORY = 64                                                 # values before a histogram is halved
-USUAL = 100 * MS                                            # a call's time while none is known
+MEMORY, USUAL = 64, 100 * MS    # values before a histogram is halved; a call's time while none is known
 NEVER_RAN = ("full", "unreachable", "unsent")
 # The sequential test: what an outcome adds to the evidence against a host, and the bound that sets it aside.
 EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 4.5, "full": 4.5}
-BOUND = 4.5
-BRIEF = 3 * S                                               # a shorter silence is no outage
-ASIDE = 1 * S                                               # set aside for so long, and up to half more
-SPREAD = 4                                                  # tries again spread over so many times the outage
-RENEW = 1 * S                                               # ranks are renewed so often
-LEVEL = 2                                                   # calls before the next in rank gets one
+BOUND, BRIEF = 4.5, 3 * S                                   # a shorter silence is no outage
+ASIDE, SPREAD = 1 * S, 4        # set aside so long, and up to half more; tries spread over so many outages
+RENEW, LEVEL = 1 * S, 2         # ranks are renewed so often; calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 SMOOTH = 0.1                                                # weight of a new reported limit
@@ -37,7 +33,7 @@
 HOUSE = {
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
     "live": 0.42, "log": 0.5, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256, "ends": 1024,
-    "legs": 8, "backlog": 512, "idle": 60 * S, "idle_share": 0.8, "read_within": 5 * S, "write_within": 2 * S,
+    "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "read_within": 2 * S, "write_within": 2 * S,
     "list_within": 2 * S, "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2,
     "last_words": S // 5, "sweep": S // 2}
 
@@ -51,6 +47,7 @@
         self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
         self.routes, self.measured, self.lost, self.areas = [], {}, {}, {}
         self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
+        self.nowhere = Destination(-1)      # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
         self.phase = (terms.get("number") or 0) % self.relays / self.relays
@@ -89,7 +86,9 @@
     def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
         """`legs` are those of an earlier life: (host, sent at, ending); one still out then may have run."""
         lane = self.lanes.get(lane) or self.lanes.setdefault(lane, Lane(lane, calls=Histogram(EDGES, MEMORY)))
-        msg = self.open[name] = Message(name, self.destination(where), lane, deadline, key, customer, again)
+        dst = self.dsts.get(where, self.nowhere) if self.hosts else self.destination(where)
+        deadline = min(deadline, now + (lane.deadline or 1 << 62))      # or odd ones would be kept for ever
+        msg = self.open[name] = Message(name, dst, lane, deadline, key, customer, again)
         doubtful, msg.sent = [leg for leg in legs if leg[2] not in NEVER_RAN], len(legs)
         if doubtful:
             msg.first, msg.ran, msg.last_host = doubtful[0][1], True, self.hosts.get(doubtful[-1][0])
@@ -227,7 +226,8 @@
             msg.over_share = left < 1
             self.shares[msg.customer] = now, left - (not msg.over_share)
         free = self.terms.get("room", 1 << 30) - len(self.open)
-        if now >= self.late(msg) or sum(len(rt.held) for rt in msg.dst.routes) > free:
+        backlog = sum(len(rt.held) for rt in msg.dst.routes)
+        if msg.dst is self.nowhere or now >= self.late(msg) or backlog > free:
             self.end(now, msg)
         return not msg.over
 
@@ -516,7 +516,7 @@
         if msg.over:
             return
         if self.harmless(now, msg):
-            stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=0)
+            stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=S)
             self.acts.append(("push back", msg.name, max(0, min(stay, self.terms.get("stay_away", 0)))))
         else:
             self.acts.append(("fail", msg.name))
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -90,7 +90,7 @@
         """None is left unanswered: what is being read is answered, with 503 by now."""
         self.desk.ready = False
         self.enter(Phase.CLOSING, held=len(self.desk.held), clients=len(self.clients.open))
-        self.clients.close_idle()
+        self.clients.close_idle(silent_too=True)
         with trio.move_on_after(HOUSE["last_words"] / 1e9):
             while self.clients.open or self.desk.owed:
                 await trio.sleep(HOUSE["notice_pause"] / 1e9)
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -9,6 +9,17 @@
 from courseroute.wire.http import Door, Refused
 
 
+class Guest:
+    """One connection, and where it stands."""
+    __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked")
+
+    def __init__(self, sock, door):
+        self.sock, self.stream, self.door = sock, trio.SocketStream(sock), door
+        self.scope = trio.CancelScope()
+        self.since = trio.current_time()    # when its request began, a first one with the connection
+        self.half, self.asked = 0, False    # bytes of a half-read request; whether a whole one came yet
+
+
 class Clients:
     """Bounded: so many connections, so many bytes of half-read requests; a full house answers 503."""
 
@@ -16,8 +27,9 @@
         self.desk, self.house, self.listener, self.log = desk, house, listener, log
         self.most, self.refusing = most, refusing       # connections served, and those that hear a 503
         self.left = half_read
-        self.open, self.idle, self.half = {}, {}, {}    # scopes; idle ones in that order; bytes in hand
-        self.since = {}                                 # when a request began
+        self.within = house["read_within"] / 1e9, house["idle"] / 1e9
+        self.open = set()
+        self.silent, self.idle = {}, {}     # guests who never asked, those between requests
         self.closing = False
         self.full = False
 
@@ -36,68 +48,70 @@
                 nursery.start_soon(self.connection, sock)
 
     async def connection(self, sock):
-        """A connection beyond the bound gets a plain 503: for its request, or at once where far beyond it."""
-        extra = len(self.open) >= self.most and not self.give_up_idle()
-        if extra and not self.full:
-            self.full = True
-            self.log("full of connections", open=len(self.open))
-        elif len(self.open) < self.most - self.refusing:
-            self.full = False
-        door = Door(self.house["head"], self.house["body"])
-        if len(self.open) >= self.most + self.refusing:
-            self.say_full(sock, door)
-            return
-        self.open[sock] = scope = trio.CancelScope()
+        guest = Guest(sock, Door(self.house["head"], self.house["body"]))
         try:
-            with scope:
-                await self.talk(sock, trio.SocketStream(sock), door, extra)
+            with guest.scope:
+                await self.receive(guest)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as cause:      # a peer's odd bytes must cost its own connection only
             self.log("connection failed", error=repr(cause)[:300])
         finally:
-            self.hold(sock, 0)
-            self.open.pop(sock, None)
-            self.idle.pop(sock, None)
-            self.since.pop(sock, None)
+            self.hold(guest, 0)
+            self.forget(guest)
             sock.close()
 
-    def say_full(self, sock, door):
-        try:
-            os.write(sock.fileno(), door.answer(503, close=True))       # trio's sockets never block
-            sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-        sock.close()
+    async def receive(self, guest):
+        """A connection beyond the bound gets a plain 503: for its request, or at once where far beyond it."""
+        extra = len(self.open) >= self.most and not self.give_up_waiting()
+        if extra and not self.full:
+            self.full = True
+            self.log("full of connections", open=len(self.open))
+        elif len(self.open) < self.most - self.refusing:
+            self.full = False
+        if len(self.open) >= self.most + self.refusing:
+            os.write(guest.sock.fileno(), guest.door.answer(503, close=True))    # sockets never block here
+            guest.sock.shutdown(socket.SHUT_WR)
+        else:
+            self.open.add(guest)
+            await self.talk(guest, extra)
+
+    def forget(self, guest):
+        self.silent.pop(guest, None)
+        self.idle.pop(guest, None)
+        self.open.discard(guest)
 
-    def give_up_idle(self):
-        """Between requests a relay may close a connection: the longest idle one makes room."""
-        if not self.idle:
+    def give_up_waiting(self):
+        """Who waits longest without a word makes room, lest a silent crowd cost those who come to ask."""
+        return any(self.give_up(guest) for waiting in (self.silent, self.idle) for guest in list(waiting))
+
+    def give_up(self, guest):
+        """Ends a connection with nothing to be read; its client may ask again on another."""
+        if seen(guest.sock, select.POLLIN):
             return False
-        sock = next(iter(self.idle))
-        self.idle.pop(sock)
-        self.open.pop(sock).cancel()
+        self.forget(guest)
+        guest.scope.cancel()
         return True
 
-    def hold(self, sock, size):
+    def hold(self, guest, size):
         """Counts the bytes of half-read requests; False when there is no room for them."""
-        self.left += self.half.pop(sock, 0) - size
-        if size:
-            self.half[sock] = size
+        self.left += guest.half - size
+        guest.half = size
         return self.left >= 0
 
-    async def talk(self, sock, stream, door, extra):
+    async def talk(self, guest, extra):
+        stream, door = guest.stream, guest.door
         try:
             while True:
                 request = door.next()
                 if request is None:
-                    await self.read(sock, stream, door)
+                    await self.read(guest)
                     continue
-                self.hold(sock, 0)
-                self.since.pop(sock, None)
+                self.hold(guest, 0)
+                guest.since, guest.asked = None, True
                 if extra:
                     raise Refused(503, "no room for more connections")
-                status, headers, body = self.desk.answer(request, gone(sock))
+                status, headers, body = self.desk.answer(request, gone(guest.sock))
                 await self.write(stream, door.answer(status, headers, body, close=self.closing))
                 if door.over:
                     return
@@ -110,26 +124,30 @@
         except EOFError:
             pass
 
-    async def read(self, sock, stream, door):
-        """Reads once; a silent peer is closed, sooner in the middle of a request."""
-        begun, data = door.begun, None
-        if begun:       # the whole request has its time: one that drips must not hold a place for ever
-            within, since = self.house["read_within"], self.since.setdefault(sock, trio.current_time())
-        else:
-            within, since = self.house["idle"], trio.current_time()
-            self.idle[sock] = True
-        with trio.move_on_at(since + within / 1e9):
-            data = await stream.receive_some(self.house["body"])
-        self.idle.pop(sock, None)
+    async def read(self, guest):
+        """Reads once; a silent peer is closed, sooner while a request is awaited: one that drips, or never
+        says a word, must not hold a place for ever."""
+        door, data, now = guest.door, None, trio.current_time()
+        if guest.since is None and door.begun:      # its first bytes came behind the last request
+            guest.since = now
+        due = (now if guest.since is None else guest.since) + self.within[guest.since is None]
+        waiting = self.idle if guest.asked else self.silent
+        if not (guest.asked and door.begun):
+            waiting[guest] = True
+        with trio.move_on_at(due):
+            data = await guest.stream.receive_some(self.house["body"])
+        waiting.pop(guest, None)
         if data is None:
-            if begun:
+            if door.begun:
                 raise Refused(408, "the request did not come in time")
             raise EOFError
+        if guest.since is None:
+            guest.since = trio.current_time()
         door.feed(data)
-        if not self.hold(sock, self.half.get(sock, 0) + len(data)):
+        if not self.hold(guest, guest.half + len(data)):
             raise Refused(503, "no room for more half-read requests")
         if go := door.wants_go_ahead():
-            await self.write(stream, go)
+            await self.write(guest.stream, go)
 
     async def write(self, stream, data):
         with trio.move_on_after(self.house["write_within"] / 1e9) as scope:
@@ -137,13 +155,11 @@
         if scope.cancelled_caught:
             raise EOFError
 
-    def close_idle(self):
+    def close_idle(self, silent_too=False):
         """On the way out: idle connections are closed, the others at their next answer."""
         self.closing = True
-        for sock in list(self.idle):
-            if not seen(sock, select.POLLIN):
-                self.idle.pop(sock)
-                self.open.pop(sock).cancel()
+        for guest in [*self.idle, *(self.silent if silent_too else ())]:
+            self.give_up(guest)
 
 
 def gone(sock):
