A spoilt answer ends its leg at once as one that may have run; a first line of 200 is true

Ruled out: 1xx ahead and bytes behind (both kept). At fault: Call.feed (h11 gives no status before the whole head), Leg.go (status told before the answer was whole), words.report_of.

--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -1,4 +1,6 @@
 """Thin driver for calls to hosts: one task a call, connections kept in the pool between calls."""
+import math
+
 import trio
 
 from courseroute.wire import words
@@ -33,14 +35,16 @@
         try:
             with scope:
                 await leg.go()
-        except (*LOST, Refused):
+        except (*LOST, Refused, trio.TooSlowError):
             pass
         except Exception as cause:      # one call's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
         over = self.clock() >= until
-        if leg.told is not None:
-            told = leg.told
+        call, report = leg.link and leg.link.call, None
+        if leg.written and (call.settled or call.first == 200):     # the first line of a delivery is true,
+            told = words.ending_of(call.first, call.headers)        # whatever comes behind it
+            report = words.report_of(call.headers.get("x-load"))
         elif not leg.written:       # proved never to have run
             held_back = leg.held_back or scope.cancelled_caught and not over
             told = "unsent" if held_back else "unreachable", 0, False
@@ -49,8 +53,8 @@
         else:
             told = "reset", 0, False
         try:
-            self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, leg.report)
-            if leg.told:
+            self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, report)
+            if call and call.settled:
                 await leg.drain()
         except (*LOST, Refused):
             pass
@@ -69,7 +73,7 @@
 class Leg:
     def __init__(self, hosts, msg, n, host, until):
         self.hosts, self.msg, self.n, self.host, self.until = hosts, msg, n, host, until
-        self.link = self.told = self.report = self.took = None
+        self.link = self.took = None
         self.written = self.held_back = False
 
     async def go(self):
@@ -83,28 +87,25 @@
         await self.link.send("POST", "/hook", fields, self.msg.body)
         self.written = True
         call = self.link.call
-        try:
-            while call.status is None:
+        while not call.settled:     # an answer that began and stands still is spoilt
+            with trio.fail_after(hosts.house["drain_answer"] / 1e9 if call.begun else math.inf):
                 await self.link.hear()
-        except Refused:
-            if call.status is None:     # the first line counts, whatever comes behind it
-                raise
-        self.took = hosts.clock() - begun
-        self.told = words.ending_of(call.status, call.headers)
-        self.report = words.report_of(call.headers.get("x-load"))
+            self.took = self.took or hosts.clock() - begun
 
     async def connect(self):
         """None where there is no room for one more connection; TimeoutError where it does not come up."""
-        hosts, link = self.hosts, None
+        hosts, up = self.hosts, False
         if not hosts.pool.enter():
             return None
         try:
             with trio.fail_after(hosts.connect_within / 1e9):
-                link = await Link(hosts.house["head"]).dial(hosts.where[self.host])
+                link = Link(hosts.house["head"], hosts.house["body"], keeps=False)
+                await link.dial(hosts.where[self.host])
+                up = True
         except trio.TooSlowError:
             raise TimeoutError from None
         finally:
-            if link is None:
+            if not up:
                 hosts.pool.leave()
         return link
 
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -1,6 +1,9 @@
 """HTTP/1.1 as state machines that are fed bytes and know no socket; h11 parses."""
+import re
+
 import h11
 
+FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            500: b"Internal Server Error", 503: b"Service Unavailable"}
@@ -48,8 +51,8 @@
         while True:
             try:
                 event = self.h11.next_event()
-            except h11.RemoteProtocolError as cause:
-                raise Refused(cause.error_status_hint, str(cause)) from None
+            except (h11.RemoteProtocolError, ValueError) as cause:      # a length too long to be read
+                raise Refused(getattr(cause, "error_status_hint", 400), str(cause)) from None
             if event is h11.NEED_DATA:
                 return None
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -116,14 +119,18 @@
 class Call:
     """The side that calls: one connection, one call at a time."""
 
-    def __init__(self, head_limit, body_limit=0):
+    def __init__(self, head_limit, body_limit, keeps=True):
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
-        self.body_limit = body_limit        # what is kept of a body; more is an error, nought: any, not kept
+        self.body_limit, self.keeps = body_limit, keeps     # a longer body is an error
+        self.start()
+
+    def start(self):
         self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
+        self.first = None       # the status by the first line, which may be whole in a head that is not
 
     def begin(self, method, target, headers, body=b""):
         """The head's bytes; the body goes out behind them as it is."""
-        self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
+        self.start()
         headers = [*headers, ("Content-Length", str(len(body)))]
         try:
             head = self.h11.send(h11.Request(method=method, target=target, headers=headers))
@@ -139,25 +146,48 @@
         try:
             self.h11.receive_data(data)
             while True:
+                if self.status is None:
+                    self.read_first_line()
                 event = self.h11.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.ConnectionClosed):
                     raise EOFError
                 if isinstance(event, h11.Response):
-                    self.status = event.status_code
+                    self.status = self.first = event.status_code
                     self.headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
-                elif isinstance(event, h11.Data) and self.body_limit:
+                    if int(self.headers.get("content-length", 0)) > self.body_limit:
+                        raise Refused(413, "answer too large")
+                elif isinstance(event, h11.Data):
                     self.size += len(event.data)
                     if self.size > self.body_limit:
                         raise Refused(413, "answer too large")
-                    self.parts.append(event.data)
+                    if self.keeps:
+                        self.parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     self.done = True
                     return
-        except (h11.RemoteProtocolError, RuntimeError) as cause:
+        except (h11.RemoteProtocolError, RuntimeError, ValueError) as cause:    # a length too long to be read
             raise Refused(400, str(cause)) from None
 
+    def read_first_line(self):
+        """What is noise is known by its first bytes; h11 would wait for the end of a head."""
+        head = self.h11.trailing_data[0]
+        found = FIRST_LINE.match(head)
+        if not found and (b"\n" in head or not head.startswith(b"HTTP/1."[:len(head)])):
+            raise Refused(400, "no answer's first line")
+        self.first = int(found[1]) if found else None
+
+    @property
+    def begun(self):
+        """An answer is on its way; what came ahead of it is no part of it."""
+        return self.status is not None or bool(self.h11.trailing_data[0])
+
+    @property
+    def settled(self):
+        """The head says all of a delivery; any other answer counts once it is whole."""
+        return self.status == 200 or self.done
+
     def body(self):
         return b"".join(self.parts)
 
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -7,8 +7,8 @@
 
 
 class Link:
-    def __init__(self, head_limit, body_limit=0):
-        self.call = Call(head_limit, body_limit)
+    def __init__(self, head_limit, body_limit, keeps=True):
+        self.call = Call(head_limit, body_limit, keeps)
         self.chunk = head_limit
         self.socket = trio.socket.socket()
         self.stream = None
@@ -40,7 +40,7 @@
 class Line:
     """One kept link to one place, opened anew when it broke or the place moved; one exchange at a time."""
 
-    def __init__(self, place, head_limit, body_limit=0):
+    def __init__(self, place, head_limit, body_limit):
         self.place, self.limits, self.link, self.dialled = place, (head_limit, body_limit), None, None
 
     async def exchange(self, within, method, target, headers, body=b""):
--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -10,7 +10,7 @@
 class Notices:
     def __init__(self, desk, house, place, log):
         self.desk, self.house, self.log = desk, house, log
-        self.line = Line(place, house["head"])
+        self.line = Line(place, house["head"], house["body"])
         self.lines, self.some = {}, trio.Event()
         self.failing = False
 
--- a/courseroute/wire/words.py
+++ b/courseroute/wire/words.py
@@ -1,4 +1,5 @@
 """The words of the protocol: what a head's fields say, as the interface has it, and back."""
+import math
 import re
 from urllib.parse import parse_qsl
 
@@ -68,9 +69,10 @@
     """A load report's figures, None where there is none."""
     found = dict(re.findall(r"(\w+)\s*=\s*([0-9.eE+-]+)", text or ""))
     try:
-        return {"left": float(found["x0"]), "limit": float(found["x1"])}
+        told = {"left": float(found["x0"]), "limit": float(found["x1"])}
     except (KeyError, ValueError):
         return None
+    return told if all(0 <= figure < math.inf for figure in told.values()) else None
 
 
 def entry_of(told, listed_rates):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """The one file of helpers: a relay under hand-held time, and a real one among stand-ins."""
+import contextlib
 import http.client
 import http.server
 import json
@@ -122,7 +123,13 @@
                 plan = town.plan(call)
                 if plan == "hang":
                     town.held.wait(20)
-                if isinstance(plan, str):       # drop, or the end of a hang
+                if isinstance(plan, bytes):     # as it is, and the connection stays until the relay ends it
+                    self.wfile.write(plan)
+                    with contextlib.suppress(ConnectionResetError):
+                        self.connection.recv(1000)
+                    call["closed"] = True
+                    self.close_connection = True
+                elif isinstance(plan, str):       # drop, or the end of a hang
                     self.connection.shutdown(socket.SHUT_RDWR)
                     self.close_connection = True
                 else:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -410,3 +410,24 @@
         assert town.hand_in("c") == 202
     finally:
         town.close()
+
+
+@pytest.mark.parametrize("answer, ends", [
+    (b"\0noise", "failed"), (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", "failed"),
+    (b"HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, "failed"),
+    (b"HTTP/1.1 503 Full\r\nno colon\r\n\r\n", "failed"),
+    (b"HTTP/1.1 500 No\r\nX-Endless: " + b"x" * 99999, "failed"),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", None), (b"HTTP/1.1 200 OK\r\nX-Half: ", None),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, None),
+    (b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: x1=x\r\nContent-Length: 0\r\n\r\nnoise", None),
+], ids=range(9))
+def test_a_spoilt_answer_ends_its_leg_soon_and_its_connection(town, answer, ends):
+    """It may have run, whatever it says but a delivery; the time-out is far away."""
+    town.plan = lambda call: answer if call["id"] == "a" else (200, {})
+    town.start()
+    assert town.hand_in("a", "once") == 202
+    assert until(lambda: town.calls and town.calls[0].get("closed"), 1.2)
+    assert town.hand_in("b", "once") == 202 and until(lambda: town.sent("b"))
+    assert until(lambda: town.notices or not ends) and len(town.sent("a")) == 1
+    assert town.notices == ([{"id": "a", "state": ends}] if ends else [])
+    assert town.hand_in("a", "once") == (500 if ends else 200)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,6 @@
 """The state machines, fed bytes, and the words of the protocol."""
+import contextlib
+
 import orjson
 import pytest
 from helpers import MS, S
@@ -37,11 +39,14 @@
     (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", (503, True, True)),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 again", (200, True, False)),
     (b"SSH-2.0 hello\r\n\r\n", Refused), (b"", Refused), (b"HTTP/1.1 2", (None, False, False)),
-    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, Refused),
+    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, Refused), (b"HTTP/1.1 OK 200\r\n", Refused),
+    (b"\0noise", Refused),
+    (b"HTTP/1.1 500 No\r\nContent-Length: 3000000000\r\n\r\nx", Refused),
+    (b"HTTP/1.1 500 No\r\nContent-Length: " + b"9" * 2000 + b"\r\n\r\nx", Refused),
 ])
 def test_an_answer_in_one_read_or_byte_by_byte(data, outcome):
     for size in (1, len(data) or 1):
-        call = Call(4096)
+        call = Call(4096, 100)
         call.begin("POST", "/hook", [("Host", "h")], b"body")
 
         def hear(call=call, size=size):
@@ -55,6 +60,24 @@
             assert hear() == outcome
 
 
+@pytest.mark.parametrize("data, first, settled", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 200, False), (b"HTTP/1.1 200 OK\r\nX: y", 200, False),
+    (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", 200, False), (b"HTTP/1.1 200", None, False),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", 200, True),
+    (b"HTTP/1.1 20\r\n\r\n", None, False),
+    (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", 503, False), (b"ok 200\r\n", None, False),
+    (b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nbad", 200, False),
+    (b"HTTP/1.1 103 Hints\r\n\r\n", None, False),
+    (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", 503, True),
+])
+def test_the_first_line_is_known_though_the_rest_is_spoilt(data, first, settled):
+    call = Call(4096, 100)
+    call.begin("POST", "/hook", [("Host", "h")])
+    with contextlib.suppress(Refused):
+        call.feed(data)
+    assert (call.first, call.settled) == (first, settled)
+
+
 def request_of(change=b"", to=b""):
     door = Door(4096, 100)
     door.feed(POST.replace(change, to) if change else POST)
@@ -93,7 +116,8 @@
 
 @pytest.mark.parametrize("text, report", [
     ("TEXT x0=0.4, x1=25", {"left": 0.4, "limit": 25.0}), ("TEXT x0=0.4", None), (None, None),
-    ("TEXT x0=e, x1=1", None), ("TEXT x0=0,x1=0", {"left": 0.0, "limit": 0.0}),
+    ("TEXT x0=e, x1=1", None),
+    ("x0=0.1, x1=-5", None), ("x0=0.1, x1=1e999", None), ("TEXT x0=0,x1=0", {"left": 0.0, "limit": 0.0}),
 ])
 def test_reports(text, report):
     assert words.report_of(text) == report
