--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -25,12 +25,10 @@
 RENEW, LEVEL = 1 * S, 2         # ranks are renewed so often; calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
-SMOOTH = 0.1                                                # weight of a new reported limit
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
-ROUGH = 1.5                                                 # a rough rate may be so many times too high
+SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
-# The relay's house: shares of its descriptors, memory and disk, then sizes, then times.
-HOUSE = {
+HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
     "live": 0.42, "log": 0.5, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256, "ends": 1024,
     "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "read_within": 2 * S, "write_within": 2 * S,
@@ -45,9 +43,9 @@
         self.draw = random.Random(seed).uniform
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lined, self.shares = {}, {}, {}, {}, {}
-        self.routes, self.measured, self.lost, self.areas = [], {}, {}, {}
+        self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
         self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
-        self.nowhere = Destination(-1)      # of all messages whose destination is not listed
+        self.nowhere = Destination(None)    # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
         self.phase = (terms.get("number") or 0) % self.relays / self.relays
@@ -70,10 +68,11 @@
             self.watched, self.failed = now, 0
         if scope != "changes":
             for host in self.hosts.values():
-                host.listed = False
+                host.listed, host.gone = False, host.gone or now
         for name, state, area, rate, kind, where in entries:
             host = self.hosts.get(name) or self.join(name, kind, where)
             host.listed, host.area, host.rate = state == "ready", area, rate
+            host.gone = (host.gone or now) if state == "gone" else None
         for dst in self.dsts.values():
             for rt in dst.routes:
                 if rt.held and not any(host.listed for host in rt.hosts):
@@ -81,8 +80,23 @@
             stranded, dst.stranded = dst.stranded, []
             for msg in (msg for msg in stranded if not msg.over):
                 self.book(now, msg)
+        for host in list(self.hosts.values()):
+            if host.gone and now - host.gone > FORGET and not host.legs:
+                self.part(now, host)
         return self.said()
 
+    def part(self, now, host):
+        """All that is kept of a host ends with it, a destination with its last one: ids are always new."""
+        rt, dst = host.route, host.dst
+        del self.hosts[host.name]
+        rt.hosts.remove(host)
+        if not rt.hosts:
+            dst.routes.remove(rt)
+        if not dst.routes:
+            del self.dsts[dst.where]
+            for msg in dst.stranded:
+                self.end(now, msg)
+
     def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
         """`legs` are those of an earlier life: (host, sent at, ending); one still out then may have run."""
         lane = self.lanes.get(lane) or self.lanes.setdefault(lane, Lane(lane, calls=Histogram(EDGES, MEMORY)))
@@ -149,7 +163,7 @@
             msg.lane.calls.add(took)
             rt.served.add(now)
         self.keep_connection(host, ending)
-        self.measured[msg.dst.index] = msg.dst
+        self.measured[msg.dst.where] = msg.dst
         self.judge(now, host, ending, leg, alone)
         if over:
             self.finish(now, msg)
@@ -184,18 +198,18 @@
         return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
 
     def destination(self, where):
-        return self.dsts.setdefault(where, Destination(len(self.dsts)))
+        return self.dsts.setdefault(where, Destination(where))
 
     def join(self, name, kind, where):
         dst = self.destination(where)
         told = self.terms.get("kinds", {}).get(kind, {})
         if told.get("apart") or not dst.routes:
-            rt = Route(len(self.routes), dst, told.get("per_call", 1), served=Meter(S))
-            self.routes.append(rt)
+            rt = Route(self.joined, dst, told.get("per_call", 1), served=Meter(S))
             dst.routes.append(rt)
         rt = dst.routes[-1]
-        host = self.hosts[name] = Host(name, len(self.hosts), dst, rt, kind, times=Histogram(EDGES, MEMORY))
+        host = self.hosts[name] = Host(name, self.joined, dst, rt, kind, times=Histogram(EDGES, MEMORY))
         rt.hosts.append(host)
+        self.joined += 1
         return host
 
     def rank(self, now):
@@ -204,7 +218,7 @@
             near = host.area == self.terms.get("area")
             usual = host.times if near else self.areas.get(host.area, host.times)
             slow = host.times.quantile(0.5) or usual.quantile(0.5) or 0
-            return host.evidence >= BOUND / 2, slow, host.index
+            return not host.listed, host.evidence >= BOUND / 2, slow, host.index
         for dst in self.measured.values():      # only where something came back since the last time
             for rt in dst.routes:
                 rt.hosts.sort(key=standing)
@@ -225,9 +239,8 @@
             left = min(max(1.0, quota * SHARE_SPAN / S), left + quota * (now - at) / S)
             msg.over_share = left < 1
             self.shares[msg.customer] = now, left - (not msg.over_share)
-        free = self.terms.get("room", 1 << 30) - len(self.open)
-        backlog = sum(len(rt.held) for rt in msg.dst.routes)
-        if msg.dst is self.nowhere or now >= self.late(msg) or backlog > free:
+        free = self.terms.get("room", 1 << 30) - len(self.open) - sum(len(rt.held) for rt in msg.dst.routes)
+        if msg.dst is self.nowhere or now >= self.late(msg) or free < 0:
             self.end(now, msg)
         return not msg.over
 
@@ -244,9 +257,10 @@
 
     def pass_turn(self, now, msg):
         """A message is over and has no leg out: the next of its key may go once the key has rested."""
-        if self.open.pop(msg.name, None) and msg.key and msg.lane.ordered:
-            turn = self.turns[msg.key]
-            turn.line.remove(msg)
+        turn = self.turns.get(msg.key)
+        if self.open.pop(msg.name, None) and turn:
+            if msg in turn.line:        # one that was not admitted never stood in it
+                turn.line.remove(msg)
             self.at(max(now, turn.rest), self.give_turn, msg.key)
 
     def give_turn(self, now, key):
@@ -303,8 +317,7 @@
             return max(now, rt.wait), 0, 0
         if rt.per_call > 1 and rt.second > now and 0 < rt.riders < rt.per_call:
             return rt.second, rt.used, rt.riders + 1
-        second, used = rt.second, rt.used
-        begin = max(now, rt.wait)
+        begin, second, used = max(now, rt.wait), rt.second, rt.used
         start = begin // S * S
         if second < start:      # what was booked above a small budget is not forgotten
             second, used = start, max(0.0, used - budget * (start - second) / S)
@@ -320,17 +333,15 @@
         return max(now, rt.wait, second + int(S * (max(0.0, used - 1) + self.phase) / budget))
 
     def book(self, now, msg):
-        best = None
         usable = [rt for rt in msg.dst.routes if any(self.allowed(host, msg) for host in rt.hosts)]
-        for place, rt in enumerate(usable):
-            second, used, riders = self.slot(now, rt)
-            back = min(host.rest for host in rt.hosts)
-            key = (max(now, second, back), rt.calls // LEVEL, place)
-            if best is None or key < best[0]:
-                best = key, rt, second, used, riders
-        if best is None:
+        if not usable:
             return msg.dst.stranded.append(msg)
-        _, rt, second, used, riders = best
+
+        def soonest(rt):
+            back = min(host.rest for host in rt.hosts if host.listed)
+            return max(now, self.slot(now, rt)[0], back), rt.calls // LEVEL
+        rt = min(usable, key=soonest)
+        second, used, riders = self.slot(now, rt)
         due = self.place(now, rt, second, used) if riders else max(now, second)
         last = min(self.late(msg), now + msg.lane.target if msg.over_share else self.late(msg))
         last = min(last, self.closing) if self.harmless(now, msg) else last
@@ -391,18 +402,11 @@
         return host.listed and not (bound and host.area != (msg.last_host and msg.last_host.area))
 
     def pick(self, now, rt, msg):
-        best = None
-        free = self.slots - self.busy
-        for place, host in enumerate(rt.hosts):
-            rides = self.rides(now, host)
-            if not self.allowed(host, msg) or now < rt.wait:
-                continue
-            if not rides and (rt.calls >= free or not self.ready(now, host)):
-                continue
-            key = (not rides, host is msg.last_host, host.calls // LEVEL, place)
-            if best is None or key < best[0]:
-                best = key, host
-        return best and best[1]
+        free = rt.calls < self.slots - self.busy
+        usable = [host for host in rt.hosts if now >= rt.wait and self.allowed(host, msg)
+                  and (self.rides(now, host) or free and self.ready(now, host))]
+        return min(usable, default=None, key=lambda host: (
+            not self.rides(now, host), host is msg.last_host, host.calls // LEVEL))
 
     def rides(self, now, host):
         call = host.open_call
@@ -465,8 +469,7 @@
         self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
         host.ill = ill if host.ill is None else host.ill
         host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
-        spread = max(0, self.spacing(now, host) - ASIDE)
-        host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * spread)))
+        host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * (self.spacing(now, host) - ASIDE))))
         if len(host.dst.routes) > 1:
             self.rebook(now, host.route, True)
 
@@ -480,7 +483,8 @@
 
     def spacing(self, now, host):
         """Between sends to a host that was out: all relays together stay under the rule's multiple."""
-        since, cold, many = now - host.climb, self.terms.get("cold", 10 * S), len(host.route.hosts)
+        since, cold = now - host.climb, self.terms.get("cold", 10 * S)
+        many = max(1, sum(other.listed for other in host.route.hosts))
         if since >= cold and not host.trial:
             host.climb = None
             return 0
@@ -521,9 +525,7 @@
         else:
             self.acts.append(("fail", msg.name))
         if msg.out and self.terms.get("cancel"):
-            for n in range(msg.sent):
-                if (msg.name, n) in self.legs:
-                    self.acts.append(("cancel", msg.name, n))
+            self.acts += [("cancel", msg.name, n) for n in range(msg.sent) if (msg.name, n) in self.legs]
         self.finish(now, msg)
 
     def finish(self, now, msg):
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -66,6 +66,7 @@
     area: str = ""
     rate: float | None = None
     listed: bool = True                 # may get new work
+    gone: int | None = None             # no more on the list since
     calls: int = 0
     legs: dict = field(default_factory=dict)
     open_call: Call | None = None
@@ -109,7 +110,7 @@
 
 @dataclass(slots=True, eq=False)
 class Destination:
-    index: int
+    where: str | None
     routes: list = field(default_factory=list)
     stranded: list = field(default_factory=list)    # messages without a host to book on
 
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -48,7 +48,12 @@
             self.asked.set()
 
     def learn(self, scope, entries, where):
+        if scope == "full":     # who left is not dialled again: another may have its address
+            self.hosts.where.clear()
         self.hosts.where.update(where)
+        for name, state, *_ in entries:
+            if state == "gone":
+                self.hosts.where.pop(name, None)
         self.desk.tell("roster", scope, entries)
 
     async def serve(self):
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -93,14 +93,15 @@
             self.took = self.took or hosts.clock() - begun
 
     async def connect(self):
-        """None where there is no room for one more connection; TimeoutError where it does not come up."""
+        """None where the host left or there is no room for a connection; TimeoutError where none comes up."""
         hosts, up = self.hosts, False
-        if not hosts.pool.enter():
+        place = hosts.where.get(self.host)
+        if place is None or not hosts.pool.enter():
             return None
         try:
             with trio.fail_after(hosts.connect_within / 1e9):
                 link = Link(hosts.house["head"], hosts.house["body"], keeps=False)
-                await link.dial(hosts.where[self.host])
+                await link.dial(place)
                 up = True
         except trio.TooSlowError:
             raise TimeoutError from None
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,3 +1,5 @@
+from collections import deque
+
 import pytest
 from helpers import MS, Relay, S, named
 
@@ -28,7 +30,7 @@
     for name in names[:-1]:
         relay.back(name, "delivered")
     relay.back(names[-1], "full", report=told)
-    rt = relay.relay.routes[0]
+    rt = relay.relay.hosts["a"].route
     assert relay.relay.budget(relay.now, rt) == pytest.approx(expected)
 
 
@@ -38,7 +40,7 @@
 ])
 def test_headroom_grows_when_clean_and_is_cut_when_refused(clean, delivered, refusals, expected):
     relay = refused_relay(hosts=[("a", 10.0)])
-    rt, d = relay.relay.routes[0], relay.relay
+    rt, d = relay.relay.hosts["a"].route, relay.relay
     relay.now += clean * S
     for _ in range(delivered):
         rt.served.add(relay.now)
@@ -55,7 +57,7 @@
     nought = Relay(hosts=[("a", None)])
     name, _ = nought.take()
     nought.back(name, "full", report={"left": 0, "limit": 0.0})
-    assert nought.relay.budget(nought.now, nought.relay.routes[0]) is None
+    assert nought.relay.budget(nought.now, nought.relay.hosts["a"].route) is None
 
 
 @pytest.mark.parametrize("rate, most", [(1.0, 11), (2.5, 26), (0.4, 6)])
@@ -79,7 +81,7 @@
     before = len(relay.sends())
     for _ in range(waits):
         end = relay.now + 600 * MS
-        relay.relay.refusal(relay.now, relay.relay.routes[0], 600 * MS)
+        relay.relay.refusal(relay.now, relay.relay.hosts["a"].route, 600 * MS)
         sent = len(relay.sends())
         relay.run(595 * MS)
         assert all(act[0] >= end for act in relay.sends()[sent:])
@@ -397,8 +399,8 @@
     relay = refused_relay(hosts=[("a", 6.0)], relays=12)
     for _ in range(20):
         relay.now += S
-        relay.relay.refusal(relay.now, relay.relay.routes[0], 0)
-    assert relay.relay.budget(relay.now, relay.relay.routes[0]) == pytest.approx(1 / 12)
+        relay.relay.refusal(relay.now, relay.relay.hosts["a"].route, 0)
+    assert relay.relay.budget(relay.now, relay.relay.hosts["a"].route) == pytest.approx(1 / 12)
 
 
 def test_beyond_its_share_a_customers_messages_do_not_wait_long():
@@ -418,7 +420,7 @@
     relay.tell("roster", "full", entries)
     for host, took in (("c", 200 * MS), ("e", 400 * MS)):
         relay.back(relay.take(dst=host)[0], "delivered", host=host, took=took)
-    relay.relay.measured[0] = relay.relay.dsts["d"]
+    relay.relay.measured["d"] = relay.relay.dsts["d"]
     relay.run(1100 * MS)
     assert named(relay.take()[1], "send")[0][2] == first
 
@@ -437,3 +439,46 @@
             relay.back(name, "unsent" if name in dead else "delivered", over=True, took=5 * MS)
     alive = [act[0] for act in relay.sends() if act[2] in names and act[2] not in dead]
     assert len(alive) == 5 and alive[-1] - alive[0] > 900 * MS      # the living keep the pace of the limit
+
+
+def held(thing, seen=None):
+    """How many records, lists and maps hang on a thing: what is kept, whatever its name."""
+    seen = {} if seen is None else seen
+    holds = isinstance(thing, (dict, list, tuple, deque)) or hasattr(thing, "__slots__")
+    if id(thing) in seen or not holds:
+        return 0
+    seen[id(thing)] = thing
+    parts = [getattr(thing, slot, None) for slot in getattr(thing, "__slots__", ())] or (
+        [*thing, *thing.values()] if isinstance(thing, dict) else thing)
+    return 1 + sum(held(part, seen) for part in parts)
+
+
+@pytest.mark.parametrize("kind, scope", [("plain", "changes"), ("plain", "full"), ("apart", "changes")])
+def test_all_kept_of_what_is_gone_ends_with_it(kind, scope):
+    """Ids, keys, hosts, customers and destinations always new, for long; others stand still."""
+    relay, sizes = Relay(kind=kind), []
+    for i in range(240):
+        dst = "d" if i % 3 else f"d{i}"
+        old = [(f"h{i - 2}", "gone", "z", None, kind, "d" if (i - 2) % 3 else f"d{i - 2}")]
+        now = [(f"h{j}", "ready", "z", None, kind, "d" if j % 3 else f"d{j}") for j in (i - 1, i)]
+        relay.tell("roster", scope, now if scope == "full" else old + now)
+        for n, ending in enumerate(("delivered", "full", "reset", "delivered")):
+            message, acts = relay.take("ordered", key=f"k{i}-{n}", dst=dst)
+            for act in named(acts, "send"):
+                relay.back(message, ending, host=act[2])
+        relay.take(dst=f"nowhere{i}")
+        relay.run(S, 100 * MS)
+        for (message, n), leg in list(relay.relay.legs.items()):
+            relay.back(message, "delivered", n=n, host=leg.host.name)
+        if i % 80 == 79:
+            relay.run(20 * S, 100 * MS)
+            sizes.append(held(list(vars(relay.relay).values())))
+    assert sizes[2] <= sizes[1] * 1.1 and len(relay.relay.hosts) < 90
+
+
+def test_an_ordered_message_that_is_not_admitted_takes_no_turn_from_its_key():
+    relay = Relay()
+    assert named(relay.take("ordered", key="k", left=1)[1], "push back") and not relay.relay.turns
+    name, acts = relay.take("ordered", key="k")
+    assert named(acts, "send") and named(relay.take("ordered", key="k", left=1)[1], "push back")
+    assert list(relay.relay.turns["k"].line) == [relay.relay.open[name]]
