Connections are used while they last; one that broke tells less of its host

A probe of each connection's idle time and outcome: from 3 to 22 s calls on connections idle for more than 100 ms come back reset in 50% of the cases, at all hosts alike, younger ones in 4%, new ones in 8%; before and after nothing. One new connection that was reset set a whole destination aside for a second, several times a second over all destinations. Ruled out: connections whose end could be seen (poll tells), hosts (all alike), the time in the settings (10 s). At fault: Pool.idle (a fixed idle time), EVIDENCE (a broken connection weighed as one refused). Now a coarse record of losses by idle time, halved from time to time, bounds reuse; endings broken and stale.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -7,9 +7,9 @@
 import random
 
 from courseroute.model.agenda import Agenda
-from courseroute.model.histogram import Histogram, Meter
+from courseroute.model.histogram import Histogram, Meter, Odds
 from courseroute.model.lines import Lines
-from courseroute.model.types import Call, Destination, Host, Lane, Leg, Message, Route, Turn
+from courseroute.model.types import Call, Destination, Host, Lane, Leg, Message, Route, Turn, parts, set_parts
 
 MS = 1_000_000
 S = 1000 * MS
@@ -17,10 +17,10 @@
 LEAST, PART = 1.0, 0.1                                      # a second: cuts leave all relays, each one's part
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
 MEMORY, USUAL = 64, 100 * MS    # values before a histogram is halved; a call's time while none is known
-NEVER_RAN = ("full", "unreachable", "unsent")
-# The sequential test: what an outcome adds to the evidence against a host, and the bound that sets it aside.
-EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "unreachable": 4.5, "full": 4.5}
-BOUND, BRIEF = 4.5, 3 * S                                   # a shorter silence is no outage
+NEVER_RAN, UNHEARD = ("full", "unreachable", "broken", "unsent"), ("timeout", "reset", "stale", "cancelled")
+EVIDENCE = {"delivered": -0.7, "error": 1.1, "timeout": 1.6, "reset": 1.1, "broken": 1.1, "unreachable": 4.5,
+            "full": 4.5}        # for the sequential test; stale: a kept connection tells nothing of its host
+BOUND, BRIEF = 4.5, 3 * S       # evidence that sets a host aside; a shorter silence is no outage
 ASIDE, SPREAD = 1 * S, 4        # set aside so long, and up to half more; tries spread over so many outages
 RENEW, LEVEL = 1 * S, 2         # ranks are renewed so often; calls before the next in rank gets one
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
@@ -28,8 +28,7 @@
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
-# What outlasts a restart, of a route that paces or waits and of a host that is out or climbs.
-OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait"
+OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait"  # outlast a restart
 OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"
 HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
@@ -47,6 +46,7 @@
         self.lanes, self.dsts, self.hosts = {}, {}, {}
         self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(), {}
         self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
+        self.idled = Odds(EDGES[::3], 4 * MEMORY)   # lost calls by idle time, of new connections none
         self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
         self.nowhere = Destination(None)    # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
@@ -102,16 +102,15 @@
 
     def memory(self, now):
         """What the next life is told after the list, lest it burst upon hosts that push back or are out."""
-        return [[host.name, [getattr(host, part) for part in OF_HOST],
-                 [getattr(host.route, part) for part in OF_ROUTE]] for host in self.hosts.values()
+        return [[host.name, parts(host, OF_HOST), parts(host.route, OF_ROUTE)]
+                for host in self.hosts.values()
                 if host.trial or host.climb or host.route.refused is not None or host.route.wait > now]
 
     def recall(self, now, told):
         for name, of_host, of_route in told:
             if host := self.hosts.get(name):
-                for thing, parts, values in ((host, OF_HOST, of_host), (host.route, OF_ROUTE, of_route)):
-                    for part, value in zip(parts, values, strict=True):
-                        setattr(thing, part, value)
+                set_parts(host, OF_HOST, of_host)
+                set_parts(host.route, OF_ROUTE, of_route)
         return self.said()
 
     def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
@@ -157,7 +156,7 @@
         self.armed = None
         return self.said()
 
-    def outcome(self, now, name, n, where, ending, took, wait, report, over):
+    def outcome(self, now, name, n, where, ending, took, wait, report, over, idle=None):
         leg = self.legs.pop((name, n), None)
         if leg is None:
             return self.said()
@@ -166,7 +165,7 @@
         msg.out, call.left = msg.out - 1, call.left - 1
         if not call.left:
             self.busy, host.calls, rt.calls = self.busy - 1, host.calls - 1, rt.calls - 1
-        if ending in ("timeout", "reset", "cancelled") and msg.key and msg.lane.ordered:
+        if ending in UNHEARD and msg.key and msg.lane.ordered:
             self.turns[msg.key].rest = now + self.terms.get("turn_gap", 0)
         msg.ran = msg.ran or ending not in NEVER_RAN
         if not (msg.ran or msg.out):
@@ -180,7 +179,7 @@
             self.areas.setdefault(host.area, Histogram(EDGES, MEMORY)).add(took)
             msg.lane.calls.add(took)
             rt.served.add(now)
-        self.keep_connection(host, ending)
+        self.keep_connection(host, ending, idle)
         self.measured[msg.dst.where] = msg.dst
         self.judge(now, host, ending, leg, alone)
         if over:
@@ -247,8 +246,6 @@
                 self.rebook(now, rt)    # what was booked under a smaller budget would stay late
         self.at(now + RENEW, self.rank)
 
-    # Admit: lanes, shares, holding room.
-
     def admit(self, now, msg):
         """One destination may hold as much as is still free: its backlog must not shut out the others."""
         quota = self.terms.get("customers", {}).get(msg.customer, 0) / self.relays
@@ -262,16 +259,12 @@
             self.end(now, msg)
         return not msg.over
 
-    # Turn: the messages of a key one at a time, in the order taken.
-
     def turn(self, now, msg):
+        """The messages of a key one at a time, in the order taken: who has its turn is booked from there."""
         if not (msg.key and msg.lane.ordered):
             return True
-        turn = self.turns.setdefault(msg.key, Turn())
-        turn.line.append(msg)
-        if turn.line[0] is msg and now < turn.rest:
-            self.at(turn.rest, self.give_turn, msg.key)
-        return turn.line[0] is msg and now >= turn.rest
+        self.turns.setdefault(msg.key, Turn()).line.append(msg)
+        return self.give_turn(now, msg.key)
 
     def pass_turn(self, now, msg):
         """A message is over and has no leg out: the next of its key may go once the key has rested."""
@@ -279,13 +272,15 @@
         if self.open.pop(msg.name, None) and turn:
             if msg in turn.line:        # one that was not admitted never stood in it
                 turn.line.remove(msg)
-            self.at(max(now, turn.rest), self.give_turn, msg.key)
+            self.at(now, self.give_turn, msg.key)
 
     def give_turn(self, now, key):
         turn = self.turns.get(key)
-        if turn and not turn.line and now >= turn.rest:
+        if turn and now < turn.rest:
+            self.at(turn.rest, self.give_turn, key)
+        elif turn and not turn.line:
             del self.turns[key]
-        elif turn and turn.line and now >= turn.rest:
+        elif turn:
             first = turn.line[0]
             if not (first.over or first.route or first.out or first in first.dst.stranded):
                 self.book(now, first)
@@ -343,11 +338,6 @@
             second, used = second + S, used - budget
         return second, used + 1, 1
 
-    def place(self, now, rt, second, used):
-        """A booking's place inside its second: evenly spaced, and apart from the other relays' places."""
-        budget = max(1.0, self.budget(now, rt))
-        return max(now, rt.wait, second + int(S * (max(0.0, used - 1) + self.phase) / budget))
-
     def book(self, now, msg):
         usable = [rt for rt in msg.dst.routes if any(self.allowed(host, msg) for host in rt.hosts)]
         if not usable:
@@ -358,7 +348,10 @@
             return max(now, self.slot(now, rt)[0], back), rt.calls // LEVEL
         rt = min(usable, key=soonest)
         second, used, riders = self.slot(now, rt)
-        due = self.place(now, rt, second, used) if riders else max(now, second)
+        due = max(now, second)
+        if riders:      # its place inside its second: evenly spaced, and apart from the other relays' places
+            apart = S * (max(0.0, used - 1) + self.phase) / max(1.0, self.budget(now, rt))
+            due = max(now, rt.wait, second + int(apart))
         last = min(self.late(msg), now + msg.lane.target if msg.over_share else self.late(msg))
         last = min(last, self.closing) if self.harmless(now, msg) else last
         if due >= last or not self.may_send(due, msg):
@@ -473,9 +466,14 @@
         if len(host.dst.routes) > 1:
             self.rebook(now, host.route, True)
 
-    def keep_connection(self, host, ending):
+    def fresh_for(self, now):
+        """So long may a kept connection have stood idle: longer ones are lost more often than new ones."""
+        return self.idled.sound_below(LOSSY)
+
+    def keep_connection(self, host, ending, idle):
         """Where calls to a kind get lost none is kept idle: for full tables, and those dropped unseen."""
-        lost = ending in ("unreachable", "timeout", "reset", "cancelled")
+        lost = ending in ("unreachable", "broken", *UNHEARD)
+        self.idled.add(idle or 0, lost)
         share = self.lost.get(host.kind, 0.0)
         self.lost[host.kind] = share = share + (lost - share) * LAG
         if share > LOSSY and not host.calls:
--- a/courseroute/model/histogram.py
+++ b/courseroute/model/histogram.py
@@ -30,6 +30,32 @@
         return self.edges[-1]
 
 
+class Odds:
+    """How often things went wrong, by size: coarse bins, halved together when the caller's cap is reached."""
+    __slots__ = ("edges", "cap", "all", "wrong")
+
+    def __init__(self, edges, cap):
+        self.edges, self.cap = edges, cap
+        self.all, self.wrong = [0] * (len(edges) + 1), [0] * (len(edges) + 1)
+
+    def add(self, value, wrong):
+        at = bisect_left(self.edges, value)
+        self.all[at] += 1
+        self.wrong[at] += wrong
+        if sum(self.all) >= self.cap:
+            self.all = [count // 2 for count in self.all]
+            self.wrong = [count // 2 for count in self.wrong]
+
+    def sound_below(self, share):
+        """The lower edge of the first bin in which that share more went wrong than in the least bin, and one
+        more by chance."""
+        least = self.wrong[0] / max(1, self.all[0])
+        for at in range(1, len(self.all)):
+            if self.wrong[at] > (share + least) * self.all[at] + 1:
+                return self.edges[at - 1]
+        return self.edges[-1]
+
+
 class Meter:
     """Counts events in spans of a given length; keeps the last full span beside the running one."""
     __slots__ = ("span", "start", "count", "last")
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -120,3 +120,12 @@
     """A key's messages in the order taken, and the rest the key must keep."""
     line: deque = field(default_factory=deque)
     rest: int = 0
+
+
+def parts(thing, names):
+    return [getattr(thing, name) for name in names]
+
+
+def set_parts(thing, names, values):
+    for name, value in zip(names, values, strict=True):
+        setattr(thing, name, value)
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -50,7 +50,7 @@
         await listener.bind(told["listen"])
         async with trio.open_nursery() as nursery:
             keep_for = terms.get("idle_close", house["idle"]) * house["idle_share"]
-            pool = Pool(most_calls, keep_for, time.monotonic_ns)
+            pool = Pool(most_calls, keep_for, time.monotonic_ns, desk.fresh_for)
             desk.hosts = Hosts(nursery, desk, pool, house, terms, self.clock, say)
             desk.notices = Notices(desk, house, told["discovery"], say)
             watch = Watch(terms["listed_rates"], None)
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -113,7 +113,7 @@
 
     # Hosts.
 
-    def returned(self, name, n, host, ending, wait, over, took, report):
+    def returned(self, name, n, host, ending, wait, over, took, report, idle=None):
         msg = self.held.get(name)
         if msg is not None:
             msg.legs[n][2] = ending
@@ -121,7 +121,10 @@
                 self.finish(msg, "delivered" if ending == "delivered" else "over")
             else:
                 self.note(record(records.BACK, [name, n, ending]))
-        self.tell("outcome", name, n, host, ending, took, wait, report, over or msg is None)
+        self.tell("outcome", name, n, host, ending, took, wait, report, over or msg is None, idle)
+
+    def fresh_for(self):
+        return self.dispatcher.fresh_for(self.clock())
 
     def may_leave(self, name, n):
         return self.dispatcher.may_leave(self.clock(), name, n)
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -3,8 +3,9 @@
 
 
 class Pool:
-    def __init__(self, most, keep_for, clock):
+    def __init__(self, most, keep_for, clock, fresh_for):
         self.most, self.keep_for, self.clock = most, keep_for, clock
+        self.fresh_for = fresh_for      # a method that tells how long one may have stood idle
         self.open = 0
         self.kept = {}          # host -> [(connection, idle since)], the newest last
 
@@ -28,14 +29,14 @@
         return conn
 
     def idle(self, host):
-        """The newest idle connection that still stands: a host that closed it would lose the next call."""
+        """The newest idle connection that still stands, and its idle time: a dead one would lose the call."""
         while host in self.kept:
-            since = self.kept[host][-1][1]
+            idle = self.clock() - self.kept[host][-1][1]
             conn = self.take(host, -1)
-            if self.clock() - since < self.keep_for and quiet(conn):
-                return conn
+            if idle < min(self.keep_for, self.fresh_for()) and quiet(conn):
+                return conn, idle
             self.drop(conn)
-        return None
+        return None, None
 
     def keep(self, host, conn):
         self.kept.setdefault(host, []).append((conn, self.clock()))
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -7,6 +7,8 @@
 from courseroute.wire.http import Refused
 from courseroute.wire.link import LOST, Link
 
+BROKE = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)    # a connection once up
+
 
 class Hosts:
     """Each call ends in one `desk.returned`; whether its last byte was written tells if it may have run."""
@@ -35,8 +37,8 @@
         try:
             with scope:
                 await leg.go()
-        except (*LOST, Refused, trio.TooSlowError):
-            pass
+        except (*LOST, Refused, trio.TooSlowError) as cause:
+            leg.broke = isinstance(cause, BROKE)
         except Exception as cause:      # one call's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
@@ -47,13 +49,13 @@
             report = words.report_of(call.headers.get("x-load"))
         elif not leg.written:       # proved never to have run
             held_back = leg.held_back or scope.cancelled_caught and not over
-            told = "unsent" if held_back else "unreachable", 0, False
+            told = "unsent" if held_back else "broken" if leg.broke else "unreachable", 0, False
         elif scope.cancelled_caught:
             told = "timeout" if over else "cancelled", 0, False
         else:
-            told = "reset", 0, False
+            told = "stale" if leg.idle is not None and not call.begun else "reset", 0, False
         try:
-            self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, report)
+            self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, report, leg.idle)
             if call and call.settled:
                 await leg.drain()
         except (*LOST, Refused):
@@ -74,11 +76,13 @@
     def __init__(self, hosts, msg, n, host, until):
         self.hosts, self.msg, self.n, self.host, self.until = hosts, msg, n, host, until
         self.link = self.took = None
-        self.written = self.held_back = False
+        self.written = self.held_back = self.broke = False
+        self.idle = None        # how long its connection had stood idle, None for a new one
 
     async def go(self):
         hosts, begun = self.hosts, self.hosts.clock()
-        self.link = hosts.pool.idle(self.host) or await self.connect()
+        self.link, self.idle = hosts.pool.idle(self.host)
+        self.link = self.link or await self.connect()
         # A wait, or a drain, may have been told while the connection came up.
         self.held_back = self.link is None or not hosts.desk.may_leave(self.msg.name, self.n)
         if self.held_back:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -450,3 +450,15 @@
     begun, count = time.time(), len(town.calls)
     time.sleep(1)
     assert 2 <= len([call for call in town.calls if call["at"] > begun]) <= 6 and count < 20
+
+
+def test_a_kept_connection_that_breaks_at_the_next_call_is_told_as_stale(town):
+    """As where a machine between drops idle connections unseen: only the call written to it is reset."""
+    town.plan = lambda call: "drop" if call["id"][0] == "b" and len(town.sent(call["id"])) == 1 else (200, {})
+    town.start()
+    for i in range(8):
+        for name in (f"a{i}", f"b{i}"):
+            assert town.hand_in(name) == 202 and until(lambda name=name: town.sent(name))
+            time.sleep(0.03)
+    assert until(lambda: all(len(town.sent(f"b{i}")) == 2 for i in range(8)), 2)
+    assert (town.folder / "state" / "log").read_bytes().count(b'"stale"') >= 2
