A connection given up just as its request was read is still answered

Ruled out: the farewell on SIGTERM (came at 7.8 s), time-outs of a read (2 s and 5 s), faults (none in the log). At fault: Clients.give_up cancelled a connection's whole task. trio yields once after a read that succeeded at once: the bytes are out of the socket, poll says silent, the task has not come to look at them; a crowd that fills the house at that moment had the connection cancelled, before or even after the module had taken its message on. Now only the wait is cancelled; what was read is answered, then the connection ends. Test: fails without, with a read that is overtaken.

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -11,11 +11,12 @@
 
 class Guest:
     """One connection, and where it stands."""
-    __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked")
+    __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked", "last")
 
     def __init__(self, sock, door):
         self.sock, self.stream, self.door = sock, trio.SocketStream(sock), door
-        self.scope = trio.CancelScope()
+        self.scope = trio.CancelScope()     # of the read it waits in
+        self.last = False       # it was given up: what was read of it is still answered, then it ends
         self.since = trio.current_time()    # when its request began, a first one with the connection
         self.half, self.asked = 0, False    # bytes of a half-read request; whether a whole one came yet
 
@@ -50,8 +51,7 @@
     async def connection(self, sock):
         guest = Guest(sock, Door(self.house["head"], self.house["body"]))
         try:
-            with guest.scope:
-                await self.receive(guest)
+            await self.receive(guest)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as cause:      # a peer's odd bytes must cost its own connection only
@@ -86,10 +86,12 @@
         return any(self.give_up(guest) for waiting in (self.silent, self.idle) for guest in list(waiting))
 
     def give_up(self, guest):
-        """Ends a connection with nothing to be read; its client may ask again on another."""
+        """Ends a connection with nothing to be read; its client may ask again on another. Only the wait is
+        cancelled: bytes may be read already that its task has not come to look at."""
         if seen(guest.sock, select.POLLIN):
             return False
         self.forget(guest)
+        guest.last = True
         guest.scope.cancel()
         return True
 
@@ -112,7 +114,7 @@
                 if extra:
                     raise Refused(503, "no room for more connections")
                 status, headers, body = self.desk.answer(request, gone(guest.sock))
-                await self.write(stream, door.answer(status, headers, body, close=self.closing))
+                await self.write(stream, door.answer(status, headers, body, close=self.closing or guest.last))
                 if door.over:
                     return
         except Refused as cause:
@@ -128,17 +130,19 @@
         """Reads once; a silent peer is closed, sooner while a request is awaited: one that drips, or never
         says a word, must not hold a place for ever."""
         door, data, now = guest.door, None, trio.current_time()
+        if guest.last:
+            raise EOFError
         if guest.since is None and door.begun:      # its first bytes came behind the last request
             guest.since = now
         due = (now if guest.since is None else guest.since) + self.within[guest.since is None]
         waiting = self.idle if guest.asked else self.silent
         if not (guest.asked and door.begun):
             waiting[guest] = True
-        with trio.move_on_at(due):
+        with trio.move_on_at(due) as guest.scope:
             data = await guest.stream.receive_some(self.house["body"])
         waiting.pop(guest, None)
         if data is None:
-            if door.begun:
+            if door.begun and not guest.last:
                 raise Refused(408, "the request did not come in time")
             raise EOFError
         if guest.since is None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -3,6 +3,7 @@
 import socket
 
 import pytest
+import trio
 from helpers import MS, S
 
 from courseroute.decide import HOUSE
@@ -10,6 +11,7 @@
 from courseroute.state.desk import END, Desk
 from courseroute.state.log import Full, Log, record
 from courseroute.state.pool import Pool
+from courseroute.wire.clients import Clients
 from courseroute.wire.notices import Notices
 
 
@@ -183,3 +185,34 @@
     assert not again.owed and again.bytes == ends + sum(msg.size for msg in again.held.values())
     again.log.compact()
     assert again.log.size <= again.bytes
+
+
+@pytest.mark.parametrize("last_byte", [True, False])
+def test_a_connection_given_up_with_its_request_just_read_is_answered(last_byte):
+    """A task that has read yields before it goes on: others may then find its connection silent."""
+    ask = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
+
+    class Answers:
+        def answer(self, request, gone):
+            return 200, (), b""
+
+    async def play():
+        ours, theirs = trio.socket.socketpair()
+        clients = Clients(Answers(), HOUSE, None, 9, 1, 9999, lambda *told, **more: None)
+        read = trio.SocketStream.receive_some
+
+        async def receive(stream, size):
+            data = await read(stream, size)
+            for guest in list(clients.open):
+                clients.give_up(guest)
+            return data
+        await theirs.send(ask if last_byte else ask[:9])
+        trio.SocketStream.receive_some = receive
+        try:
+            with trio.fail_after(1):
+                await clients.connection(ours)
+        finally:
+            trio.SocketStream.receive_some = read
+        assert (await theirs.recv(99)).startswith(b"HTTP/1.1 200 ") == last_byte
+        assert not clients.open and not clients.silent and not clients.idle and clients.left == 9999
+    trio.run(play)
