One event a route for its soonest booking: rebookings leave nothing behind

Measured: 200 rebookings of 60 held messages left 10,000 entries in the agenda, each holding its message to its slot. Ruled out: descriptors (flat), hosts and keys (a test counts what is kept). At fault: book() planned an event for each booking; now the route has one, for its soonest (model/lines.py).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -44,7 +44,7 @@
         self.terms = terms
         self.draw = random.Random(seed).uniform
         self.lanes, self.dsts, self.hosts = {}, {}, {}
-        self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(), {}
+        self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(self.at), {}
         self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
         self.idled = Odds(EDGES[::3], 4 * MEMORY)   # lost calls by idle time, of new connections none
         self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
@@ -361,7 +361,7 @@
         msg.seq = msg.seq or self.ticket
         msg.due, msg.route = due, rt
         rt.held[msg.name] = msg
-        self.at(due, self.fall_due, msg, rt, due)
+        self.lines.expect(rt, msg)
 
     def rebook(self, now, rt, due_too=False):
         """Books anew what a route holds, in its order; what has a slot already keeps it but where told."""
@@ -375,10 +375,6 @@
         for msg in sorted(moved, key=lambda msg: msg.seq):
             self.book(now, msg)
 
-    def fall_due(self, now, msg, rt, due):
-        if msg.route is rt and msg.due == due and not msg.over:
-            self.lines.add(rt, msg)
-
     # Release: a slot for those whose second has come, in booking order.
 
     def release(self, now):
--- a/courseroute/model/lines.py
+++ b/courseroute/model/lines.py
@@ -5,12 +5,30 @@
 class Lines:
     """A message that was booked elsewhere or is over stays in its heap until it comes to the front."""
 
-    def __init__(self):
-        self.routes = {}
+    def __init__(self, at):
+        self.routes, self.at = {}, at
 
-    def add(self, rt, msg):
-        heapq.heappush(rt.line, (msg.seq, msg.name, msg))
-        self.routes[rt.index] = rt
+    def expect(self, rt, msg):
+        msg.lined = False
+        self.plan(rt, msg.due)
+
+    def plan(self, rt, due):
+        """One event a route, for its soonest booking: one for each would outlast many a rebooking."""
+        if rt.next is None or due < rt.next:
+            rt.next = due
+            self.at(due, self.fall_due, rt, due)
+
+    def fall_due(self, now, rt, due):
+        if rt.next != due:
+            return
+        rt.next = None
+        for msg in [msg for msg in rt.held.values() if not msg.lined]:
+            if msg.due <= now:
+                msg.lined = True
+                heapq.heappush(rt.line, (msg.seq, msg.name, msg))
+                self.routes[rt.index] = rt
+            else:
+                self.plan(rt, msg.due)
 
     def first(self, rt):
         while rt.line and (rt.line[0][2].route is not rt or rt.line[0][2].over):
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -29,6 +29,7 @@
     over_share: bool = False
     seq: int = 0                        # its place in booking order
     due: int = 0
+    lined: bool = False                 # its slot has come, it stands in line
     route: object = None                # where it is booked and held, None else
     sent: int = 0                       # legs so far
     out: int = 0                        # legs without an outcome
@@ -105,6 +106,7 @@
     calls: int = 0
     served: object = None
     held: dict = field(default_factory=dict)    # messages booked here and not sent, in booking order
+    next: int | None = None             # the soonest slot of those, while one is awaited
     line: list = field(default_factory=list)    # those whose slot has come, a heap by booking order
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -535,3 +535,13 @@
     assert 40 > sum(idle is not None and idle > 100 * MS for idle in tried)
     assert tried.count(50 * MS) == tried.count(5 * MS) == 250
     assert calls(2000, S) > 10 * S and None not in tried[-400:]
+
+
+def test_rebooking_a_backlog_leaves_nothing_behind():
+    relay = refused_relay(room=200)
+    for _ in range(60):
+        relay.take()
+    before = len(relay.relay.agenda)
+    for _ in range(200):
+        relay.relay.rebook(relay.now, relay.relay.hosts["a"].route, True)
+    assert len(relay.relay.agenda) <= before + 200
