One checked configuration, TOML or the platform's JSON; no start ends in a trace

A missing variable or a torn JSON file ended in a traceback, and installations of one's own had no form to set a relay by.

--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -1,29 +1,69 @@
-"""What the platform tells a relay at its start."""
+"""What a relay is told at its start: the platform's JSON, or a TOML file of an installation of one's own.
+
+Both end in the same checked `Setup`; what is wrong raises `Bad` with one line a mistake, never a trace.
+"""
 import os
+import random
 
+import msgspec
 import orjson
 
+from courseroute.checked import Bad, Mistake, made
+from courseroute.checked import read as read_toml
 from courseroute.model.terms import paths_of, terms_of
+from courseroute.run.setup import Setup, told_of
 from courseroute.wire.words import place_of
 
+PLATFORM = {"listen": "ROUTER_LISTEN", "directory": "ROUTER_DISCOVERY", "state": "ROUTER_STATE",
+            "name": "ROUTER_NAME"}
+
 
 def read(environ=os.environ):
-    with open(environ["ROUTER_CONFIG"], "rb") as file:
-        told = orjson.loads(file.read())
-    terms = terms_of(paths_of(told.get("settings", {})))
-    terms["ask"] = True             # on sockets the list answers only when asked,
-    for kind in terms["kinds"].values():
-        kind["per_call"] = 1        # and calls are single, whatever the settings say
-    limits = told.get("limits", {})
+    """The running relay's figures as a plain map, from the file that ROUTER_CONFIG names."""
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise Bad("ROUTER_CONFIG", [Mistake("", "no such variable", "the path of a configuration file")])
+    if path.endswith(".toml"):
+        return figures(made(read_toml(path), Setup, path))
+    return read_platform(path, environ)
+
+
+def read_platform(path, environ):
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except (OSError, ValueError) as cause:
+        found = getattr(cause, "strerror", None) or str(cause)
+        raise Bad(path, [Mistake("", found, "a JSON file")]) from None
+    if not isinstance(told, dict):
+        raise Bad(path, [Mistake("", type(told).__name__, "a JSON object")])
+    named = {name: told.get("discovery" if name == "directory" else name) or environ.get(variable)
+             for name, variable in PLATFORM.items()}
+    named["state"] = environ.get("ROUTER_STATE")
+    limits = told.get("limits") or {}
+    shape = {name: value for name, value in named.items() if value is not None}
+    try:
+        shape |= told_of(terms_of(paths_of(told.get("settings", {}))))
+        shape |= {"seed": str(told.get("seed", "0")), "limits": {
+            "memory_mb": int(limits["memory_mb"]), "descriptors": int(limits["sockets"]),
+            "disk_mb": float(limits["disk_mb"])}}
+    except (ValueError, KeyError, TypeError, AttributeError) as cause:
+        mistake = Mistake("settings or limits", repr(cause), "the settings and limits of the protocol page")
+        raise Bad(path, [mistake]) from None
+    told_figures = figures(made(shape, Setup, path, strict=False))
+    for kind in told_figures["terms"]["kinds"].values():
+        kind["per_call"] = 1        # calls are single on the platform's sockets, whatever the settings say
+    return told_figures | {"known": told.get("known")}
+
+
+def figures(setup):
+    """A Setup as the relay uses it: addresses as pairs, sizes in bytes, the module's terms."""
+    terms = setup.terms()
+    terms["ask"] = True             # on sockets the list answers only when asked
     return {
-        "name": told.get("name", environ.get("ROUTER_NAME", "")),
-        "listen": place_of(told.get("listen") or environ["ROUTER_LISTEN"]),
-        "discovery": place_of(told.get("discovery") or environ["ROUTER_DISCOVERY"]),
-        "state": environ["ROUTER_STATE"],
-        "seed": int(told.get("seed", "0"), 16),
-        "known": told.get("known"),
-        "terms": terms,
-        "memory": int(limits["memory_mb"]) << 20,
-        "sockets": int(limits["sockets"]),
-        "disk": int(float(limits["disk_mb"]) * 1_000_000),
+        "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
+        "state": setup.state, "known": None, "terms": terms, "log": msgspec.structs.asdict(setup.log),
+        "seed": int(setup.seed, 16) if setup.seed else random.SystemRandom().getrandbits(64),
+        "memory": setup.limits.memory_mb << 20, "sockets": setup.limits.descriptors,
+        "disk": int(setup.limits.disk_mb * 1_000_000),
     }
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -5,9 +5,10 @@
 
 import trio
 
+from courseroute.checked import Bad
 from courseroute.decide import HOUSE, Dispatcher
 from courseroute.run import config
-from courseroute.run.logbook import say
+from courseroute.run.logbook import say, set_log
 from courseroute.state.desk import Desk
 from courseroute.state.log import Log
 from courseroute.state.pool import Pool
@@ -79,6 +80,8 @@
         self.enter(Phase.ENDED, held=len(desk.held), owed=len(desk.owed))
 
     def learn_known(self, watch):
+        if self.told["known"] is None:      # the directory is asked for the whole list
+            return
         try:
             index, _, entries, where = roster_of(self.told["known"], self.told["terms"]["listed_rates"])
         except ValueError as cause:     # a bad saved list must not keep the relay from its start
@@ -111,11 +114,12 @@
         """A new configuration: the directory moves at once, all held is kept, the rest waits."""
         try:
             told = config.read()
-        except (OSError, ValueError, LookupError, TypeError, AttributeError) as cause:
-            say("configuration not read, the old one stays", error=repr(cause)[:200])
+        except Bad as cause:
+            say("configuration not read, the old one stays", error=str(cause)[:400])
             return
+        set_log(**told["log"])
         place = told["discovery"]
-        later = sorted(name for name in told if name not in ("discovery", "known")
+        later = sorted(name for name in told if name not in ("discovery", "known", "log", "seed")
                        and told[name] != self.told[name])
         say("configuration read", discovery=place, moved=place != self.told["discovery"], at_next_start=later)
         if place != self.told["discovery"]:
@@ -146,5 +150,6 @@
 
 
 def main(told):
+    set_log(**told["log"], relay=told["name"])
     trio.run(Relay(told).run)
     return 0
