--- /dev/null
+++ b/courseroute/town/relays.py
@@ -0,0 +1,212 @@
+"""The relays of a town as processes: started, killed, told to stop, paused, bounded, on folders that last.
+
+Called by `play`. A relay is any command that reads ROUTER_CONFIG (a TOML file of docs/configuration.md).
+"""
+import contextlib
+import os
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+
+import msgspec
+import psutil
+import trio
+
+from courseroute.checked import span
+from courseroute.run.setup import Fleet, Limits, Setup
+
+READY = b"GET /ready HTTP/1.1\r\nHost: town\r\nConnection: close\r\n\r\n"
+STOP_WITHIN, BACK_AFTER, LOOK = 3.7, 0.6, 0.25      # seconds
+
+
+class Relay:
+    def __init__(self, number, folder, place, command):
+        self.number, self.name, self.place, self.command = number, f"n{number}", tuple(place), command
+        self.folder, self.state = folder / f"n{number}", folder / f"n{number}" / "state"
+        self.state.mkdir(parents=True)
+        self.config, self.process, self.lives = self.folder / "relay.toml", None, 0
+        self.wanted = False         # it is meant to run: an end is a crash
+        self.most = {"memory_kb": 0, "descriptors": 0, "disk_kb": 0}
+        self.cpu = self.life_cpu = 0.0      # seconds, of the lives that ended and of this one
+
+
+def written(setup):
+    """A Setup as the text of its TOML file."""
+    return msgspec.toml.encode(msgspec.to_builtins(setup))
+
+
+class Relays:
+    def __init__(self, day, folder, places, command, clock, tell, front):
+        """`front`: told (relay, whether it lives) when the front has noticed."""
+        self.day, self.clock, self.tell, self.front = day, clock, tell, front
+        self.relays = [Relay(i, folder, place, command) for i, place in enumerate(places)]
+        self.tasks = None
+
+    def configure(self, relay, directory):
+        form = self.day.relays
+        setup = Setup(
+            name=relay.name, listen="{}:{}".format(*relay.place), directory="{}:{}".format(*directory),
+            state=str(relay.state), seed=f"{self.day.seed * 1000 + relay.number:x}",
+            limits=Limits(memory_mb=form.memory_mb, descriptors=form.descriptors, disk_mb=form.disk_mb),
+            log=self.day.log, fleet=Fleet(relays=form.count, number=relay.number, area="a"),
+            sending=self.day.sending, rules=self.day.rules, lanes=self.day.lanes, kinds=self.day.kinds)
+        relay.config.write_bytes(written(setup))
+
+    def start(self, relay):
+        relay.lives += 1
+        relay.wanted = True
+        limit = self.day.relays.descriptors
+        environ = os.environ | {"ROUTER_CONFIG": str(relay.config), "ROUTER_STATE": str(relay.state)}
+        with open(relay.folder / "log", "ab") as log:
+            relay.process = subprocess.Popen(relay.command, env=environ, stdin=subprocess.DEVNULL, stdout=log,
+                                             stderr=log, cwd=os.getcwd())
+        resource.prlimit(relay.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        self.tell("relay", self.clock(), relay=relay.name, now="started")
+
+    async def ready(self, relay, within=30.0):
+        """Waits until it serves; False where it never did."""
+        with trio.move_on_after(within):
+            while relay.process is not None and relay.process.poll() is None:
+                if await self.asks_ready(relay):
+                    self.tell("relay", self.clock(), relay=relay.name, now="ready")
+                    self.front(relay.number, True)
+                    return True
+                await trio.sleep(0.03)
+        return False
+
+    async def asks_ready(self, relay):
+        with contextlib.suppress(OSError), trio.move_on_after(0.5):
+            with trio.socket.socket() as sock:
+                await sock.connect(relay.place)
+                await trio.SocketStream(sock).send_all(READY)
+                return b" 200 " in await sock.recv(100)
+        return False
+
+    async def watch(self):
+        """Sees an end that nobody asked for, and what each relay uses."""
+        while True:
+            for relay in self.relays:
+                if relay.process is None:
+                    continue
+                if relay.wanted and (code := relay.process.poll()) is not None:
+                    self.gone(relay, f"exit code {code}")
+                    self.tasks.start_soon(self.again, relay)
+                elif relay.wanted:
+                    self.measure(relay)
+            await trio.sleep(LOOK)
+
+    def measure(self, relay):
+        with contextlib.suppress(psutil.Error, OSError):
+            process, most = psutil.Process(relay.process.pid), relay.most
+            memory = process.memory_info().rss // 1024
+            disk = sum(file.stat().st_size for file in relay.state.iterdir()) // 1024
+            for name, value in (("memory_kb", memory), ("descriptors", process.num_fds()), ("disk_kb", disk)):
+                most[name] = max(most[name], value)
+            times = process.cpu_times()
+            relay.life_cpu = times.user + times.system
+            form = self.day.relays
+            if memory > form.memory_mb * 1024 or disk > form.disk_mb * 1000:
+                relay.process.kill()
+                self.gone(relay, f"over its limits: {memory} kB of memory, {disk} kB of disk")
+                self.tasks.start_soon(self.again, relay)
+
+    def gone(self, relay, text):
+        relay.wanted = False
+        self.tell("relay", self.clock(), relay=relay.name, now="kill")
+        self.tell("relay", self.clock(), relay=relay.name, now="crashed", text=text)
+        self.tasks.start_soon(self.noticed, relay)
+
+    async def noticed(self, relay):
+        """The front goes on sending to a dead relay for a while."""
+        life = relay.lives
+        await trio.sleep(span(self.day.relays.noticed_after) / 1e9)
+        if relay.lives == life:
+            self.front(relay.number, False)
+
+    async def again(self, relay):
+        await trio.to_thread.run_sync(relay.process.wait)
+        relay.cpu, relay.life_cpu = relay.cpu + relay.life_cpu, 0.0
+        await trio.sleep(BACK_AFTER)
+        self.start(relay)
+        await self.ready(relay)
+
+    # What a day does to them.
+
+    async def kill(self, relay, wipe=False):
+        if not relay.wanted:
+            return
+        relay.wanted = False
+        relay.process.kill()
+        self.tell("relay", self.clock(), relay=relay.name, now="kill")
+        if wipe:
+            await trio.to_thread.run_sync(relay.process.wait)
+            shutil.rmtree(relay.state)
+            relay.state.mkdir()
+            self.tell("relay", self.clock(), relay=relay.name, now="wiped")
+        self.tasks.start_soon(self.noticed, relay)
+        await self.again(relay)
+
+    async def restart(self, relay):
+        """Planned: told to stop, killed where it does not in time."""
+        if not relay.wanted:
+            return
+        await self.stop(relay)
+        self.front(relay.number, False)
+        await self.again(relay)
+
+    async def stop(self, relay):
+        relay.wanted = False
+        self.tell("relay", self.clock(), relay=relay.name, now="term")
+        relay.process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.3)
+        self.front(relay.number, False)     # a planned restart is known to the front soon
+        with trio.move_on_after(STOP_WITHIN - 0.3):
+            while relay.process.poll() is None:
+                await trio.sleep(0.02)
+        if relay.process.poll() is None:
+            relay.process.kill()
+            self.tell("relay", self.clock(), relay=relay.name, now="crashed",
+                      text="it had not ended 3.7 s after SIGTERM")
+        elif relay.process.returncode != 0:
+            self.tell("relay", self.clock(), relay=relay.name, now="crashed",
+                      text=f"exit code {relay.process.returncode} after SIGTERM")
+
+    async def pause(self, relay, ns):
+        if not relay.wanted:
+            return
+        relay.process.send_signal(signal.SIGSTOP)
+        self.tell("relay", self.clock(), relay=relay.name, now="paused")
+        await trio.sleep(ns / 1e9)
+        relay.process.send_signal(signal.SIGCONT)
+        self.tell("relay", self.clock(), relay=relay.name, now="goes-on")
+
+    async def fill_disk(self, relay, ns):
+        """Its files can grow no further: a write beyond what they hold fails."""
+        if not relay.wanted:
+            return
+        pid = relay.process.pid
+        largest = max((file.stat().st_size for file in relay.state.iterdir()), default=0)
+        with contextlib.suppress(ProcessLookupError):
+            _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE, (largest, resource.RLIM_INFINITY))
+            await trio.sleep(ns / 1e9)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+
+    def reread(self, relay):
+        if relay.wanted:
+            relay.process.send_signal(signal.SIGHUP)
+
+    def end_all(self):
+        """The day is over; nothing that was started may be left behind."""
+        for relay in self.relays:
+            relay.wanted = False
+            relay.cpu, relay.life_cpu = relay.cpu + relay.life_cpu, 0.0
+            if relay.process is not None and relay.process.poll() is None:
+                relay.process.kill()
+                relay.process.send_signal(signal.SIGCONT)
+                relay.process.wait()
+
+
+def default_command():
+    return [sys.executable, "-m", "courseroute"]
