--- a/courseroute/town/platform.py
+++ b/courseroute/town/platform.py
@@ -71,7 +71,16 @@
 
     async def leave(self, old):
         await trio.sleep(OLD_STAYS)
-        for sock in list(self.socks[old]):
+        self.abort_all(old)
+
+    def end(self, relay):
+        """Closes the listener for that relay and all connections there."""
+        listener = self.listeners.pop(relay)
+        listener.close()
+        self.abort_all(listener)
+
+    def abort_all(self, listener):
+        for sock in list(self.socks[listener]):
             abort(sock)
 
     async def accept(self, nursery, listener, relay):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,20 +1,17 @@
 """The one file of helpers: a relay under hand-held time, and a real one among stand-ins."""
-import contextlib
 import http.client
-import http.server
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
 import sys
-import threading
 import time
 import tomllib
 from pathlib import Path
 
 from courseroute.decide import MS, Dispatcher, S
+from courseroute.town.scripted import ScriptedTown
 
 LANES = {
     "retriable": {"target": 2 * S, "deadline": 16 * S, "effect": "retriable"},
@@ -81,91 +78,23 @@
                "stop-sending-within": 1_000_000, "fall": 1_500_000}}
 
 
-class Town:
-    """Two hosts of destination 7, the platform, and the relay's folder; `plan` answers each call."""
+class Town(ScriptedTown):
+    """A scripted town with one relay beside it, started as the deploy file has it."""
 
     def __init__(self, folder, limits=None, known=True, slots=8):
-        self.folder, self.calls, self.notices, self.watches, self.news = folder, [], [], [], []
-        self.posts = []
-        self.plan, self.platform_status, self.relay = lambda call: (200, {}), None, None
-        self.held = threading.Event()           # ends every hang
-        self.hosts = {name: self.stand("127.0.0.1", self.host(name)) for name in ("h1", "h2")}
-        self.platform = self.stand("127.0.0.1", self.platform_handler())
+        super().__init__()
+        self.folder, self.relay, self.known = folder, None, known
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.port = free.getsockname()[1]
         (folder / "state").mkdir()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3} | (limits or {})
-        self.known = known
         self.settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {"call-slots": slots}}
 
-    def stand(self, host, handler):
-        server = http.server.ThreadingHTTPServer((host, 0), handler)
-        server.daemon_threads = True
-        threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
-        return server
-
-    def entries(self, **status):
-        return [{"name": name, "address": f"127.0.0.1:{server.server_port}", "zone": "z", "type": "k",
-                 "group": 7, "status": status.get(name, "active"), "weight": 1.0, "since_ms": 0}
-                for name, server in self.hosts.items()]
-
-    def host(self, name):
-        town = self
-
-        class Handler(Quiet):
-            def do_POST(self):
-                body = self.rfile.read(int(self.headers["Content-Length"]))
-                call = {"id": self.headers["X-Request-Id"], "host": name, "at": time.time(), "body": body,
-                        "key": self.headers["Idempotency-Key"], "n": len(town.calls),
-                        "port": self.client_address[1]}
-                town.calls.append(call)
-                plan = town.plan(call)
-                if plan == "hang":
-                    town.held.wait(20)
-                if isinstance(plan, bytes):     # as it is, and the connection stays until the relay ends it
-                    self.wfile.write(plan)
-                    with contextlib.suppress(ConnectionResetError):
-                        self.connection.recv(1000)
-                    call["closed"] = True
-                    self.close_connection = True
-                elif isinstance(plan, str):       # drop, or the end of a hang
-                    self.connection.shutdown(socket.SHUT_RDWR)
-                    self.close_connection = True
-                else:
-                    self.say(*plan)
-        return Handler
-
-    def platform_handler(self):
-        town = self
-
-        class Handler(Quiet):
-            def do_GET(self):
-                town.watches.append((time.time(), self.path, self.server.server_port))
-                if town.platform_status:
-                    return self.say(town.platform_status, {})
-                asked = re.search(r"index=(\d+)", self.path)
-                end = time.time() + (int(re.search(r"wait=(\d+)", self.path)[1]) / 1000 if asked else 0)
-                while asked and int(asked[1]) >= len(town.news) + 1 and time.time() < end:
-                    time.sleep(0.02)
-                index, fresh = len(town.news) + 1, not asked or int(asked[1]) < len(town.news) + 1
-                news = (town.news[-1] if town.news else town.entries()) if fresh else []
-                told = {"index": index, "snapshot": not asked, "endpoints": news}
-                self.say(200, {}, json.dumps(told).encode())
-
-            def do_POST(self):
-                body = self.rfile.read(int(self.headers["Content-Length"]))
-                if town.platform_status:
-                    return self.say(town.platform_status, {})
-                town.posts.append(self.server.server_port)
-                town.notices += [json.loads(line) for line in body.splitlines()]
-                self.say(204, {})
-        return Handler
-
     def configure(self):
         known = {"index": 1, "snapshot": True, "endpoints": self.entries()} if self.known else None
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
-                  "known": known, "discovery": f"127.0.0.1:{self.platform.server_port}",
+                  "known": known, "discovery": "{}:{}".format(*self.discovery),
                   "settings": self.settings, "limits": self.limits}
         (self.folder / "config.json").write_text(json.dumps(config))
 
@@ -224,30 +153,8 @@
             return code
 
     def close(self):
-        self.held.set()
         self.end()
-        for server in (*self.hosts.values(), self.platform):
-            server.shutdown()
-            server.server_close()
-
-
-class Quiet(http.server.BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-
-    def log_message(self, *told):
-        pass
-
-    def say(self, status, headers, body=b""):
-        self.send_response(status)
-        for name, value in headers.items():
-            self.send_header(name, value)
-        if status != 204:
-            self.send_header("Content-Length", str(len(body)))
-        try:
-            self.end_headers()
-            self.wfile.write(body)
-        except OSError:     # the relay is gone
-            self.close_connection = True
+        super().close()
 
 
 def until(true, within=6.0):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -281,7 +281,7 @@
 
 def test_a_host_that_leaves_gets_nothing_more_though_it_was_told_while_calls_waited(town):
     town.start()
-    town.news.append([entry for entry in town.entries(h1="leaving") if entry["name"] == "h1"])
+    town.change("h1", "leaving")
     assert until(lambda: len(town.watches) >= 2)
     time.sleep(0.1)
     for i in range(10):
@@ -353,10 +353,7 @@
     town.platform_status = 503 if old == "fails" else None
     town.start()
     assert town.hand_in("a") == 202 and until(lambda: town.calls)
-    left, town.platform = town.platform, town.stand("127.0.0.1", town.platform_handler())
-    if old == "gone":
-        left.shutdown()
-        left.server_close()
+    town.move_platform(old)
     town.platform_status, count = None, len(town.watches)
     (town.folder / "config.json").write_text("{")
     town.relay.send_signal(signal.SIGHUP)       # what can't be read changes nothing
@@ -365,15 +362,12 @@
     town.relay.send_signal(signal.SIGHUP)
     here = [f"/v1/endpoints{ask}" for ask in ("", "?index=1&wait=2500")]
     assert until(lambda: [path for _, path, port in town.watches[count:]
-                          if port == town.platform.server_port][:2] == here, 1)
+                          if port == town.moves][:2] == here, 1)
     town.posts.clear()
     town.plan = lambda call: "drop" if call["id"] == "b" else (200, {})
     assert until(lambda: len(town.sent("a")) == 2, 5) and town.hand_in("b", "once") == 202
     assert until(lambda: town.notices == [{"id": "b", "state": "failed"}])
-    assert set(town.posts) == {town.platform.server_port} and town.relay.poll() is None
-    if old != "gone":
-        left.shutdown()
-        left.server_close()
+    assert set(town.posts) == {town.moves} and town.relay.poll() is None
 
 
 @pytest.mark.parametrize("said", [b"", b"POST /not", HEAD + b"Content-Length: 9\r\n\r\nab"])
