A destination without told limits returns at a part of the pace it had before

The relays' logs show two set-asides in 5 s, the second with a rest of up to 22 s: spacing() paced tries by a guess of one send a second among all relays, split by hosts, where no limit was told and none was learned. Ruled out: the connections (the host listened again at once), the list.

Change: deliveries are counted over two spans of 4 s; the first set-aside keeps that pace (Route.usual), which the partner is known to have carried, and spacing() uses it where nothing was told or learned. The count is low on purpose: the last span is counted as whole.

Warnings in the log are now named by their beginnings ("returned, failures over" is none).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -28,14 +28,15 @@
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
-OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait"  # outlast a restart
-OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"
+OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual"
+OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"       # these outlast a restart
+USUAL_SPAN = 4 * S              # the pace before an outage is counted over two such spans, the last one begun
 HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
-    "live": 0.42, "log": 0.5, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256, "ends": 1024,
-    "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "read_within": 2 * S, "write_within": 2 * S,
-    "list_within": 2 * S, "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2,
-    "last_words": S // 5, "sweep": S // 2}
+    "live": 0.42, "log": 0.5, "kept_list": 0.05, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20,
+    "name": 256, "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8,
+    "read_within": 2 * S, "write_within": 2 * S, "list_within": 2 * S, "notice_within": S // 4,
+    "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2}
 
 
 class Dispatcher(Agenda):
@@ -179,6 +180,7 @@
             self.areas.setdefault(host.area, Histogram(EDGES, MEMORY)).add(took)
             msg.lane.calls.add(took)
             rt.served.add(now)
+            rt.before.add(now)
         self.keep_connection(host, ending, idle)
         self.measured[msg.dst.where] = msg.dst
         self.judge(now, host, ending, leg, alone)
@@ -221,7 +223,7 @@
         dst = self.destination(where)
         told = self.terms.get("kinds", {}).get(kind, {})
         if told.get("apart") or not dst.routes:
-            rt = Route(self.joined, dst, told.get("per_call", 1), served=Meter(S))
+            rt = Route(self.joined, dst, told.get("per_call", 1), served=Meter(S), before=Meter(USUAL_SPAN))
             dst.routes.append(rt)
         rt = dst.routes[-1]
         host = self.hosts[name] = Host(name, self.joined, dst, rt, kind, times=Histogram(EDGES, MEMORY))
@@ -457,6 +459,8 @@
         """All relays that saw it fail try it again, and their tries can push it over: they are spaced."""
         self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
         host.ill = ill if host.ill is None else host.ill
+        if host.climb is None:      # what it took before is known to be within its limits, whatever these are
+            host.route.usual = (host.route.before.last + host.route.before.count) * S / (2 * USUAL_SPAN)
         host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
         host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * (self.spacing(now, host) - ASIDE))))
         if len(host.dst.routes) > 1:
@@ -485,7 +489,8 @@
         start = self.terms.get("cold_from", 0.2)
         share = start if host.trial else start + (1 - start) * since / cold
         told = host.rate or host.route.reported
-        rate = (told / self.relays if told else host.route.learned or LEAST / self.relays) / many
+        rate = told / self.relays if told else host.route.learned or host.route.usual or LEAST / self.relays
+        rate /= many
         rate *= share * max(1.0, self.terms.get("overload", 1.0)) / (ROUGH if self.terms.get("rough") else 1)
         least = min(S / rate / many, SPREAD * SPREAD * ASIDE) / SPREAD
         return int(min(S / rate, many * max(least, SPREAD * host.out)))
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -13,7 +13,8 @@
 import orjson
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
-WARNINGS = ("full", "fail", "not taken", "not read", "cannot", "no descriptors", "saved list")
+WARNINGS = ("full", "log cannot", "notices fail", "notices not", "discovery failed", "no descriptors",
+            "saved list not", "configuration not", "connection failed", "call failed")
 ERRORS = ("fault",)
 POLL = select.poll()
 POLL.register(1, select.POLLOUT)
@@ -52,7 +53,7 @@
 def level_of(event):
     if event.startswith(ERRORS):
         return "error"
-    return "warning" if any(word in event for word in WARNINGS) else "info"
+    return "warning" if event.startswith(WARNINGS) else "info"
 
 
 def render_json(line):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -545,3 +545,27 @@
     for _ in range(200):
         relay.relay.rebook(relay.now, relay.relay.hosts["a"].route, True)
     assert len(relay.relay.agenda) <= before + 200
+
+
+def test_a_destination_without_told_limits_returns_at_a_part_of_the_pace_it_had():
+    """Else its return waits for a guess of a third of a send a second, however much it took before."""
+    relay = Relay(hosts=(("a", None),), relays=3)
+    for _ in range(48):
+        name, _ = relay.take()
+        relay.back(name, "delivered")
+        relay.run(250 * MS)
+    tries, end = 0, relay.now + 8 * S
+    while relay.now < end:
+        name, acts = relay.take()
+        for act in [*named(acts, "send"), *named(relay.run(500 * MS, 50 * MS), "send")]:
+            relay.back(act[1], "unreachable")
+            tries += 1
+    assert tries >= 4
+    sent, returned = 0, False
+    for _ in range(80):
+        relay.take()
+        for act in named(relay.run(100 * MS, 20 * MS), "send"):
+            n = max(n for name, n in relay.relay.legs if name == act[1])
+            relay.back(act[1], "delivered", n)
+            sent, returned = sent + returned, True
+    assert 5 <= sent <= 8 * 4 * 2       # never more than the rule's multiple of what it took
