--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -53,7 +53,7 @@
     told_figures = figures(made(shape, Setup, path, strict=False))
     for kind in told_figures["terms"]["kinds"].values():
         kind["per_call"] = 1        # calls are single on the platform's sockets, whatever the settings say
-    return told_figures | {"known": told.get("known")}
+    return told_figures | {"known": told.get("known"), "keeps_list": False}
 
 
 def figures(setup):
@@ -62,7 +62,8 @@
     terms["ask"] = True             # on sockets the list answers only when asked
     return {
         "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
-        "state": setup.state, "known": None, "terms": terms, "log": msgspec.structs.asdict(setup.log),
+        "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
+        "log": msgspec.structs.asdict(setup.log),
         "seed": int(setup.seed, 16) if setup.seed else random.SystemRandom().getrandbits(64),
         "memory": setup.limits.memory_mb << 20, "sockets": setup.limits.descriptors,
         "disk": int(setup.limits.disk_mb * 1_000_000),
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -12,6 +12,7 @@
 from courseroute.state.desk import Desk
 from courseroute.state.log import Log
 from courseroute.state.pool import Pool
+from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
 from courseroute.wire.discovery import Discovery, Watch
 from courseroute.wire.hosts import Hosts
@@ -41,7 +42,9 @@
 
     async def run(self):
         told, house, terms = self.told, HOUSE, dict(self.told["terms"])
-        log = Log(told["state"], told["disk"], house["live"], house["log"])
+        kept_list = int(told["disk"] * house["kept_list"]) if told["keeps_list"] else 0
+        log = Log(told["state"], told["disk"] - 2 * kept_list, house["live"], house["log"])
+        self.roster = Roster(told["state"], kept_list) if kept_list else None
         most_calls = int(told["sockets"] * house["host_connections"])
         terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
         dispatcher = Dispatcher(told["seed"], terms)
@@ -80,14 +83,17 @@
         self.enter(Phase.ENDED, held=len(desk.held), owed=len(desk.owed))
 
     def learn_known(self, watch):
-        if self.told["known"] is None:      # the directory is asked for the whole list
-            return
+        known = self.roster.read() if self.roster else self.told["known"]
+        if self.roster:
+            self.desk.discovery.keep = self.roster.learn
+            if known is None:       # a first start: the directory is asked for the whole list
+                return
         try:
-            index, _, entries, where = roster_of(self.told["known"], self.told["terms"]["listed_rates"])
+            index, _, entries, where = roster_of(known, self.told["terms"]["listed_rates"])
         except ValueError as cause:     # a bad saved list must not keep the relay from its start
             say("saved list not read", error=str(cause)[:200])
             return
-        watch.index = index
+        watch.index = None if self.roster else index
         self.desk.discovery.learn("saved", entries, where)
 
     async def close(self, listener):
@@ -147,6 +153,8 @@
             await trio.sleep(HOUSE["sweep"] / 1e9)
             pool.sweep()
             self.desk.keep_lessons()
+            if self.roster:
+                self.roster.write()
 
 
 def main(told):
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -35,6 +35,7 @@
         self.desk, self.hosts, self.house, self.watch, self.log = desk, hosts, house, watch, log
         self.line = Line(place, house["head"], house["list"])
         self.wait, self.asked, self.asking = None, trio.Event(), trio.CancelScope()
+        self.keep = None        # told (scope, entries, addresses) too, where the list is kept
 
     def ask(self, wait):
         self.wait = wait
@@ -55,6 +56,8 @@
             if state == "gone":
                 self.hosts.where.pop(name, None)
         self.desk.tell("roster", scope, entries)
+        if self.keep:
+            self.keep(scope, entries, where)
 
     async def serve(self):
         while True:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -11,8 +11,10 @@
 from courseroute.state.desk import END, Desk
 from courseroute.state.log import Full, Log, record
 from courseroute.state.pool import Pool
+from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
 from courseroute.wire.notices import Notices
+from courseroute.wire.words import roster_of
 
 
 @pytest.mark.parametrize("cut, whole", [(0, 3), (1, 2), (22, 2), (24, 1), (10 ** 6, 0)])
@@ -216,3 +218,28 @@
         assert (await theirs.recv(99)).startswith(b"HTTP/1.1 200 ") == last_byte
         assert not clients.open and not clients.silent and not clients.idle and clients.left == 9999
     trio.run(play)
+
+
+def test_the_list_is_kept_across_lives_and_never_half_written(tmp_path):
+    roster = Roster(str(tmp_path), 4000)
+    assert roster.read() is None and not roster.write()
+    one = ("h1", "ready", "z", None, "k", "7")
+    roster.learn("full", [one, ("h2", "draining", "z", 2.5, "k", "7")],
+                 {"h1": ("127.0.0.1", 1), "h2": ("::1", 2)})
+    assert roster.write() and not roster.write()        # only where it changed
+    again = Roster(str(tmp_path), 4000)
+    index, scope, entries, where = roster_of(again.read(), False)
+    assert scope == "full" and one in entries and where["h2"] == ("::1", 2)
+    again.learn("saved", entries, where)
+    again.learn("changes", [("h2", "gone", "z", None, "k", "7"), ("h1", "ready", "y", None, "k", "7")], {})
+    assert again.write()
+    _, _, entries, where = roster_of(again.read(), False)
+    assert entries == [("h1", "ready", "y", None, "k", "7")] and where == {"h1": ("127.0.0.1", 1)}
+    again.learn("changes", [(f"x{i}", "ready", "z", None, "k", "7") for i in range(90)],
+                {f"x{i}": ("127.0.0.1", 1) for i in range(90)})
+    assert not again.write()        # too long a list is not kept
+    for torn in (b"", b"{", b"[]", b"\xff"):
+        (tmp_path / "list").write_bytes(torn)
+        assert again.read() is None
+    assert not Roster(str(tmp_path / "none"), 4000).write()
+    assert [file.name for file in tmp_path.iterdir()] == ["list"]
