A host is ill from when its first failed leg left, not from when that was told

Looked at and ruled out: reports (none came while it was silent), restarts (none near), the town's own budget.

judge() takes leg.at for the start.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -448,7 +448,7 @@
                 self.log(f"host {host.index}: returned, failures over {host.out // MS} ms")
             host.ill, host.heard, rt.heard = None, now, now
         elif weight and (alone or ending != "full"):
-            host.ill = now if host.ill is None else host.ill
+            host.ill = leg.at if host.ill is None else host.ill     # it was ill when that leg left
             for other in rt.hosts:
                 if other is host or rt.heard <= host.ill:
                     other.evidence += weight
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,8 @@
 """The configuration: both forms make one checked object, and every mistake is told with its place."""
+import os
+import subprocess
+import sys
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -7,6 +11,7 @@
 from courseroute import checked
 from courseroute.checked import Bad, made, span, span_text
 from courseroute.run import config
+from courseroute.run.logbook import level_of
 from courseroute.run.setup import LaneTerms, Setup
 
 WHOLE = {"listen": "127.0.0.1:8080", "directory": "127.0.0.1:8500", "state": "/s",
@@ -117,3 +122,44 @@
 def checked_root():
     from pathlib import Path
     return Path(checked.__file__).parent.parent
+
+
+CHILD = """
+import sys
+from courseroute.run.logbook import BOOK
+BOOK.set(relay="n0", form=sys.argv[1])
+count = 0
+while not BOOK.dropped:
+    count += 1
+    BOOK.say("phase", phase="x" * 500, count=count)
+for _ in range(4):
+    BOOK.say("phase", phase="lost")
+print(count, file=sys.stderr, flush=True)
+sys.stdin.readline()
+BOOK.say("discovery failed", error="none")
+"""
+
+
+@pytest.mark.parametrize("form, mark", [("json", b'"dropped_before":5'), ("console", b"dropped_before")])
+def test_a_reader_that_stands_still_stops_nothing_and_is_told_what_it_missed(form, mark):
+    with subprocess.Popen([sys.executable, "-c", CHILD, form], cwd=checked_root(), stdin=subprocess.PIPE,
+                          stdout=subprocess.PIPE, stderr=subprocess.PIPE) as child:
+        count = int(child.stderr.readline())        # it came here though nobody read
+        os.set_blocking(child.stdout.fileno(), False)
+        got = child.stdout.read()
+        child.stdin.write(b"\n")
+        child.stdin.close()
+        os.set_blocking(child.stdout.fileno(), True)
+        got += child.stdout.read()
+    lines = got.splitlines()
+    assert len(lines) == count and mark in lines[-1] and b"warning" in lines[-1] and b"n0" in lines[0]
+
+
+@pytest.mark.parametrize("event, level", [
+    ("fault", "error"), ("full", "warning"), ("room again", "info"), ("notices not taken", "warning"),
+    ("notices are taken again", "info"), ("host 3: returned, failures over 2899 ms", "info"),
+    ("host 3: set aside on full, evidence 4.5", "info"),
+    ("configuration not read, the old one stays", "warning"),
+])
+def test_each_event_has_its_level(event, level):
+    assert level_of(event) == level
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -569,3 +569,22 @@
             relay.back(act[1], "delivered", n)
             sent, returned = sent + returned, True
     assert 5 <= sent <= 8 * 4 * 2       # never more than the rule's multiple of what it took
+
+
+def test_a_silence_is_counted_from_when_the_first_lost_call_left():
+    """Its time-out comes seconds later; counted from there, an outage of 4 s looked like one of 2 and the
+    destination was sent its whole backlog at once."""
+    relay = Relay(hosts=(("a", 4.0),), relays=2)
+    relay.back(relay.take()[0], "delivered")
+    begun = relay.now
+    for _ in range(6):
+        relay.take()
+    while relay.now < begun + 7 * S:        # silent for 4 s, each call's time-out 1.5 s after it left
+        relay.run(20 * MS)
+        for (name, n), leg in list(relay.relay.legs.items()):
+            if relay.now >= leg.at + 1500 * MS and leg.at < begun + 4 * S:
+                relay.back(name, "timeout", n)
+            elif leg.at >= begun + 4 * S:
+                relay.back(name, "delivered", n)
+    host, = relay.relay.hosts.values()
+    assert not host.trial and host.out > 3 * S and host.climb is not None
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -99,6 +99,12 @@
     assert found["all"]["delivered"] > 0.5 * found["all"]["messages"]
 
 
+def test_a_restart_while_the_directory_is_away_goes_by_the_list_that_was_kept(tmp_path):
+    faults = [fault("directory-down", "700ms", lasts="6s"), fault("kill", "1s", where="n0")]
+    found, _ = played(tmp_path, {"fault": faults, "traffic": SMALL["traffic"] | {"again": 5}})
+    assert found["all"]["delivered"] >= 0.9 * found["all"]["messages"] and not found["broken"]
+
+
 def test_every_day_that_is_shipped_is_good_and_they_differ():
     days = [load(file) for file in sorted((ROOT / "examples").glob("*.toml"))]
     assert len(days) >= 12 and len({day.about for day in days}) == len(days)
