--- a/courseroute/run/console.py
+++ b/courseroute/run/console.py
@@ -1,5 +1,6 @@
 """structlog's side of the log, loaded only where an installation's own command starts the relay."""
 import datetime
+import sys
 
 import orjson
 import structlog
@@ -9,7 +10,7 @@
 def renderer(form):
     """Renders one event's plain map to a line's bytes through structlog's processors."""
     if form == "console":
-        chain = [stamp, ConsoleRenderer(colors=True, sort_keys=False, pad_event_to=30)]
+        chain = [stamp, ConsoleRenderer(colors=sys.stdout.isatty(), sort_keys=False, pad_event_to=30)]
     else:
         def dumps(line, **_):
             return orjson.dumps(line, default=str)
