--- a/courseroute/command/main.py
+++ b/courseroute/command/main.py
@@ -17,6 +17,7 @@
 from courseroute.run.setup import Setup
 
 FILE = click.argument("file", type=click.Path(dir_okay=False))
+FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False))
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON, for scripts.")
 
 
@@ -118,20 +119,85 @@
 
 
 @log_group.command("show")
-@click.argument("folder", type=click.Path(exists=True))
+@FOLDER
 @click.option("--records", is_flag=True, help="Every record, not what is left of them.")
 @AS_JSON
 def log_show(folder, records, as_json):
-    """What FOLDER (or a log file) holds: messages, owed notices, recent ends. Reads only, also of a running
-    relay."""
-    from courseroute.command import logs
-    told = logs.records_of(folder) if records else logs.state_of(folder)
+    """What FOLDER holds: messages, owed notices, recent ends. Reads only, also of a running relay."""
+    from courseroute.journal import tools
+    told = list(tools.rows(folder)) if records else tools.state(folder)
     if as_json:
         click.echo(orjson.dumps(told))
     else:
         (show.records if records else show.state)(told)
 
 
+@cli.group()
+def journal():
+    """Check and mend the journal in a relay's folder."""
+
+
+@journal.command("verify")
+@FOLDER
+@AS_JSON
+def journal_verify(folder, as_json):
+    """Name every stretch that can't be read; exit 1 where there is one."""
+    from courseroute.journal import tools
+    bad = tools.verify(folder)
+    click.echo(orjson.dumps(bad) if as_json else "\n".join(
+        "{segment}: {kind} at byte {at}, {bytes} bytes".format(**one) for one in bad) or "good")
+    sys.exit(bool(bad))
+
+
+@journal.command("stat")
+@FOLDER
+@AS_JSON
+def journal_stat(folder, as_json):
+    """Figures of each segment."""
+    from courseroute.journal import tools
+    told = tools.stat(folder)
+    if as_json:
+        click.echo(orjson.dumps(told))
+    else:
+        show.segments(told)
+
+
+@journal.command("dump")
+@FOLDER
+def journal_dump(folder):
+    """Every record as a JSON line."""
+    from courseroute.journal import tools
+    for line in tools.lines(folder):
+        click.echo(line)
+
+
+@journal.command("compact")
+@FOLDER
+@click.option("--disk-mb", default=64.0, show_default=True)
+def journal_compact(folder, disk_mb):
+    """Keep only what is live, in a stopped relay's FOLDER."""
+    before, after = mend(lambda tools: tools.compact(folder, int(disk_mb * 1_000_000)))
+    click.echo(f"{before} -> {after} bytes")
+
+
+@journal.command("salvage")
+@FOLDER
+@click.argument("target", type=click.Path(file_okay=False))
+def journal_salvage(folder, target):
+    """Write what can be read of a stopped relay's FOLDER into a fresh folder TARGET."""
+    for one in mend(lambda tools: tools.salvage(folder, target)):
+        click.echo("left out: {segment}: {kind} at byte {at}, {bytes} bytes".format(**one))
+
+
+def mend(what):
+    from courseroute.journal import frames, tools
+    try:
+        return what(tools)
+    except (tools.Held, frames.Newer, OSError) as cause:
+        click.echo(str(cause), err=True)
+        sys.exit(2)
+
+
 # The town.
 
 
--- a/courseroute/command/show.py
+++ b/courseroute/command/show.py
@@ -87,8 +87,17 @@
              ", ".join(leg["ending"] or "out" for leg in msg["legs"])] for name, msg in told["held"].items()]
     OUT.print(table(f"Held: {len(rows)}", ["message", "lane", "dst", "body", "legs", "endings"], rows))
     OUT.print(table(f"Owed: {len(told['owed'])}", ["message", "state"], told["owed"].items()))
-    OUT.print(f"{len(told['ends'])} recent ends, {told['hosts_remembered']} hosts remembered" + (
-        f", torn at byte {told['torn']['at']}" if told["torn"] else ""))
+    OUT.print(f"{len(told['ends'])} recent ends")
+    for one in told["bad"]:
+        OUT.print(f"{one['kind']}: {one['segment']} at byte {one['at']}, {one['bytes']} bytes", markup=False)
+
+
+def segments(told):
+    OUT.print(table("Segments", ["segment", "records", "bytes", "live bytes", "kinds"], [
+        [name, row["records"], row["bytes"], row["live_bytes"],
+         ", ".join(f"{kind} {count}" for kind, count in row["kinds"].items())]
+        for name, row in told["segments"].items()]))
+    OUT.print(f"{told['held']} held, {told['owed']} owed, {told['ends']} recent ends")
 
 
 def records(told):
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -33,8 +33,8 @@
 USUAL_SPAN = 4 * S              # the pace before an outage is counted over two such spans, the last one begun
 HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
-    "live": 0.42, "log": 0.5, "kept_list": 0.05, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20,
-    "name": 256, "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8,
+    "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
+    "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
     "read_within": 2 * S, "write_within": 2 * S, "list_within": 2 * S, "notice_within": S // 4,
     "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2}
 
@@ -107,11 +107,18 @@
                 for host in self.hosts.values()
                 if host.trial or host.climb or host.route.refused is not None or host.route.wait > now]
 
-    def recall(self, now, told):
+    def recall(self, now, told, at):
+        """What was learned ages: a wait holds to its end, a budget relaxes, after a minute nothing binds."""
+        age = max(0, now - at) if at else 0
         for name, of_host, of_route in told:
             if host := self.hosts.get(name):
-                set_parts(host, OF_HOST, of_host)
-                set_parts(host.route, OF_ROUTE, of_route)
+                rt = host.route
+                set_parts(rt, OF_ROUTE, of_route)
+                rt.headroom += max(0.0, MOST - rt.headroom) * min(1.0, age / FORGET)
+                if age < FORGET:
+                    set_parts(host, OF_HOST, of_host)
+                else:
+                    rt.refused, rt.learned, rt.usual = None, 0.0, 0.0
         return self.said()
 
     def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
--- /dev/null
+++ b/courseroute/journal/frames.py
@@ -0,0 +1,118 @@
+"""The journal's format, down to the byte. No I/O.
+
+A segment begins with a header of 32 bytes: the mark `courjrnl`, format version and 0 (two bytes each), the
+segment's number (eight), xxh32 of the relay's name (four), 0 (four), xxh32 of the 28 bytes before it. Records
+follow: the mark C0 DE, the kind (one byte), 0, the size of what follows (four), its xxh32 seeded with the
+kind (four); then the fields as a line of JSON, and a body where there is one. Numbers are little-endian.
+"""
+import struct
+from typing import NamedTuple
+
+import orjson
+import xxhash
+
+VERSION = 1
+HEADER = struct.Struct("<8sHHQIII")
+HEAD = struct.Struct("<2scBII")
+MARK, RECORD = b"courjrnl", b"\xc0\xde"
+MOST = 1 << 24          # no record is larger
+TAKEN, CALL, BACK, OWED, OVER, MEMORY = b"T", b"C", b"B", b"N", b"O", b"M"
+KINDS = (TAKEN, CALL, BACK, OWED, OVER, MEMORY)
+
+
+class Newer(Exception):
+    """A file of a version that this program does not know: it is left as it is."""
+
+
+class Found(NamedTuple):
+    """One stretch of a segment: a record, or (kind None) bytes that are none; `torn`: its end is missing."""
+    at: int
+    end: int
+    kind: bytes | None
+    told: list | None = None
+    body: bytes = b""
+    torn: bool = False
+
+
+def header(number, relay):
+    text = HEADER.pack(MARK, VERSION, 0, number, xxhash.xxh32_intdigest(relay.encode()), 0, 0)[:-4]
+    return text + struct.pack("<I", xxhash.xxh32_intdigest(text))
+
+
+def header_of(data, name=""):
+    """The segment's number, None where the header is none; Newer where its version is unknown."""
+    if len(data) < HEADER.size or data[:8] != MARK:
+        return None
+    _, version, _, number, _, _, check = HEADER.unpack_from(data)
+    if xxhash.xxh32_intdigest(data[:HEADER.size - 4]) != check:
+        return None
+    if version > VERSION:
+        raise Newer(f"{name}: format {version}; this program reads up to {VERSION}")
+    return number
+
+
+class Record(bytes):
+    """A record's bytes, with what it says beside them."""
+    kind, told = b"", None
+
+
+def record(kind, told, body=b""):
+    text = b"".join((orjson.dumps(told), b"\n", body))
+    made = Record(HEAD.pack(RECORD, kind, 0, len(text), xxhash.xxh32_intdigest(text, seed=kind[0])) + text)
+    made.kind, made.told = kind, told
+    return made
+
+
+def whole(data, at):
+    """The record that begins there, None where none does; IndexError where its end is missing."""
+    if len(data) - at < HEAD.size:
+        if data[at:at + 2] in (RECORD, RECORD[:1]) or at == len(data):
+            raise IndexError
+        return None
+    mark, kind, nought, size, check = HEAD.unpack_from(data, at)
+    if mark != RECORD or nought or size > MOST or kind not in KINDS:
+        return None
+    end = at + HEAD.size + size
+    if end > len(data):
+        raise IndexError
+    text = data[at + HEAD.size:end]
+    if xxhash.xxh32_intdigest(text, seed=kind[0]) != check:
+        return None
+    line = text.find(b"\n")
+    try:
+        return Found(at, end, kind, orjson.loads(text[:line]), text[line + 1:])
+    except ValueError:
+        return None
+
+
+def scan(data, at=HEADER.size):
+    """Every stretch of a segment in order: good records, and what lies between them that is none."""
+    while at < len(data):
+        try:
+            found = whole(data, at)
+        except IndexError:
+            found = None
+            if (then := resync(data, at + 1)) is None:      # nothing behind it: a write that was cut off
+                yield Found(at, len(data), None, torn=True)
+                return
+        else:
+            then = None if found else resync(data, at + 1)
+        if found is None:
+            end = len(data) if then is None else then
+            yield Found(at, end, None)
+            at = end
+        else:
+            yield found
+            at = found.end
+
+
+def resync(data, at):
+    """Where the next good record begins, None where none does."""
+    while (at := data.find(RECORD, at)) >= 0:
+        try:
+            if whole(data, at):
+                return at
+        except IndexError:
+            pass
+        at += 1
+    return None
--- /dev/null
+++ b/courseroute/journal/old.py
@@ -0,0 +1,28 @@
+"""Reads the single-file log of versions up to 0.2: records up to the first that is torn."""
+import struct
+import zlib
+
+import orjson
+
+NAME, SPARE = "log", "log.new"
+HEAD = struct.Struct("<IIc")
+
+
+def records(data):
+    """(kind, fields, body) of each whole record."""
+    at = 0
+    while at + HEAD.size <= len(data):
+        size, check, kind = HEAD.unpack_from(data, at)
+        part = data[at + HEAD.size:at + HEAD.size + size]
+        if len(part) < size or zlib.crc32(part, zlib.crc32(kind)) != check or b"\n" not in part:
+            return
+        text, _, body = part.partition(b"\n")
+        at += HEAD.size + size
+        yield kind, orjson.loads(text), body
+
+
+def record(kind, told, body=b""):
+    """One record as those versions wrote it: for tests of the change."""
+    text = orjson.dumps(told) + b"\n"
+    check = zlib.crc32(body, zlib.crc32(text, zlib.crc32(kind)))
+    return b"".join((HEAD.pack(len(text) + len(body), check, kind), text, body))
--- /dev/null
+++ b/courseroute/journal/plan.py
@@ -0,0 +1,61 @@
+"""What is compacted, when, and what still fits: no I/O, no clock, no record.
+
+A journal is a list of segments, oldest first, the newest still written to. Called by `store`.
+"""
+from typing import NamedTuple
+
+SECTORS = 512           # a file counts in whole ones
+SEGMENTS, LEAST_SEGMENT, MOST_SEGMENT = 24, 16 << 10, 4 << 20
+LIVE_SHARE = 0.78       # of the disk that live messages may fill, with room for their legs and ends
+RESERVE, LEAST_RESERVE = 2, 160 << 10       # segments, bytes kept for ends, calls and copies: not for new
+START, WASTE = 4, 0.5   # compaction begins below so many free segments; above a quarter where so much is dead
+SLICE = 2_000_000       # nanoseconds of work at a stretch
+
+
+class Segment(NamedTuple):
+    number: int
+    size: int
+    live: int
+
+
+def segment_size(most):
+    """Bytes after which a segment is closed, for a disk of so many."""
+    return max(min(LEAST_SEGMENT, most // 8), min(MOST_SEGMENT, most // SEGMENTS))
+
+
+def reserve(most):
+    return min(max(RESERVE * segment_size(most), LEAST_RESERVE), most // 6)
+
+
+def on_disk(size):
+    return -(-size // SECTORS) * SECTORS
+
+
+def used(segments):
+    return sum(on_disk(segment.size) for segment in segments)
+
+
+def fits(segments, size, most, reserved):
+    """Whether so many bytes more may be written; `reserved`: by one who may not use the reserve."""
+    return used(segments) + size + 2 * SECTORS <= most - (reserve(most) if reserved else 0)
+
+
+def may_take(live, size, most):
+    """Whether a message of that size may be taken on, with all that it may still write."""
+    return live + size <= int(most * LIVE_SHARE)
+
+
+def victim(segments, most, hurry=False):
+    """The number of the segment to compact next, None where that would not pay yet. The newest is never one;
+    of the others it is the one that costs least to copy for what it frees."""
+    closed = segments[:-1]
+    free = most - used(segments)
+    short = hurry or free < START * segment_size(most)
+    if not short and used(segments) <= most // 4:
+        return None
+    best = max(closed, key=lambda one: ((one.size - one.live) / (one.live + 1), -one.number), default=None)
+    if best is None or best.live >= best.size:
+        return None
+    if not short and best.live > best.size * (1 - WASTE) or on_disk(best.live) + SECTORS > free:
+        return None
+    return best.number
--- /dev/null
+++ b/courseroute/journal/store.py
@@ -0,0 +1,339 @@
+"""The journal: numbered segments that are appended to, compacted in slices, and read back whole.
+
+The order of what is done, so that a crash between any two system calls loses no record and brings no ended
+message back: a record is written whole before what it tells of happens; a segment's live records are copied
+to the newest one (and synced, where that is asked for) before the segment is removed; the record of an end
+names the segments that still hold the message, and is copied on while one of them stands. Called by the desk,
+which says what is live (`refresh`), and by `run.relay` (`step`).
+"""
+import time
+from collections import Counter
+from typing import NamedTuple
+
+from courseroute.journal import frames, old, plan
+from courseroute.journal.frames import MEMORY, OVER, OWED, TAKEN, record
+
+PREFIX = "seg-"
+AT_ONCE = 16            # slices of compaction at once, where a record would not fit without them
+DAMAGE = b"?"           # a stretch that could not be read, as a record of its own kind
+
+
+class Full(Exception):
+    """The record does not fit, or could not be written."""
+
+
+class Loss(NamedTuple):
+    """Bytes that could not be read: they may have told of calls and ends of messages taken on before them."""
+    segment: int
+    at: int
+    size: int
+
+
+class Entry:
+    """A live message: bytes that count by segment; the segments that hold it, copies that count no more too;
+    whether its end is owed."""
+    __slots__ = ("bytes", "holds", "owed")
+
+    def __init__(self, holds=(), owed=False):
+        self.bytes, self.holds, self.owed = Counter(), set(holds), owed
+
+
+class Journal:
+    def __init__(self, disk, most, relay="", syncs=False, clock=time.monotonic_ns):
+        self.disk, self.most, self.relay, self.syncs, self.clock = disk, most, relay, syncs, clock
+        self.size_of_segment = plan.segment_size(most)
+        self.segments = {}              # number -> [size, live bytes]
+        self.entries, self.ended_in = {}, {}    # ended_in: segment -> [(segment of the end's record, bytes)]
+        self.handle, self.newest, self.live = None, 0, 0
+        self.refresh = None             # a method: the records of a message that is held or owed, else []
+        self.remembered = None          # a method: whether a message's end is still to be known
+        self.work = None                # the compaction under way
+        self.unsynced, self.losses, self.compacted, self.copied, self.written = False, [], 0, 0, 0
+
+    # Reading.
+
+    def read(self):
+        """Yields all records of earlier lives in order, as (kind, fields, body); DAMAGE with a Loss where
+        bytes are bad. Ends that a crash tore are cut off. Newer where a file is of a later version."""
+        names = self.disk.names()
+        if old.NAME in names:
+            self.convert(names)
+        for name in self.names():
+            data = self.disk.read(name)
+            number = frames.header_of(data, name)
+            if number is None or name != self.name(number):
+                if self.is_torn_start(data, name):
+                    self.disk.remove(name)
+                else:
+                    self.losses.append(Loss(self.number(name), 0, len(data)))
+                    self.disk.rename(name, f"bad-{name}")
+                    yield DAMAGE, self.losses[-1], b""
+                continue
+            self.segments[number] = [len(data), 0]
+            last = name == self.names()[-1]
+            for one in frames.scan(data):
+                if one.kind is not None:
+                    self.place(one.kind, one.told, number, one.end - one.at)
+                    yield one.kind, one.told, one.body
+                elif one.torn or last and one.end == len(data):
+                    self.disk.cut(name, one.at)
+                    self.segments[number][0] = one.at
+                else:
+                    self.losses.append(Loss(number, one.at, one.end - one.at))
+                    yield DAMAGE, self.losses[-1], b""
+            self.newest = max(self.newest, number)
+
+    def names(self):
+        return [name for name in self.disk.names() if name.startswith(PREFIX)]
+
+    def name(self, number):
+        return f"{PREFIX}{number:010d}"
+
+    def number(self, name):
+        digits = name.removeprefix(PREFIX)
+        return int(digits) if digits.isdigit() else 0
+
+    def is_torn_start(self, data, name):
+        """A crash just as the segment began left a part of its header."""
+        return frames.header(self.number(name), self.relay).startswith(data)
+
+    def convert(self, names):
+        """The log of an earlier version, turned over: while it stands, segments are a torn try to do so."""
+        for name in self.names():
+            frames.header_of(self.disk.read(name, 0, 64), name)     # a newer one is not touched
+            self.disk.remove(name)
+        for kind, told, body in old.records(self.disk.read(old.NAME)):
+            self.write(record(kind, told, body))
+        if self.handle is not None:
+            self.disk.sync(self.handle)
+            self.disk.close(self.handle)
+            self.handle = None
+        for name in (old.SPARE, old.NAME):
+            if name in names:
+                self.disk.remove(name)
+        self.segments, self.entries, self.ended_in, self.newest = {}, {}, {}, 0
+
+    # Room.
+
+    def table(self):
+        return [plan.Segment(number, *self.segments[number]) for number in sorted(self.segments)]
+
+    def room(self, size):
+        """Whether a message with so many bytes may still be taken on."""
+        if not plan.may_take(self.live, size, self.most):
+            return False
+        if not plan.fits(self.table(), size, self.most, True):
+            self.make_room(size)
+        return plan.fits(self.table(), size, self.most, True)
+
+    def make_room(self, size, reserved=True):
+        """Compacts at once, for some slices: better than to turn away what would fit."""
+        for _ in range(AT_ONCE):
+            if plan.fits(self.table(), size, self.most, reserved) or not self.step(hurry=True):
+                return
+
+    @property
+    def size(self):
+        return plan.used(self.table())
+
+    # Writing.
+
+    def write(self, *parts):
+        """Writes whole records, or raises Full with nothing of them left behind."""
+        data = b"".join(parts)
+        reserved = data[2:3] == TAKEN
+        if not plan.fits(self.table(), len(data), self.most, reserved):
+            self.make_room(len(data), reserved)
+            if not plan.fits(self.table(), len(data), self.most, reserved):
+                raise Full("the journal is full")
+        self.append(data)
+        for part in parts:
+            self.place(part.kind, part.told, self.newest, len(part))
+
+    def append(self, data):
+        if self.handle is None or self.segments[self.newest][0] >= self.size_of_segment:
+            self.begin()
+        start = self.segments[self.newest][0]
+        try:
+            self.put(data)
+        except OSError as cause:
+            self.take_back(start)
+            raise Full(str(cause)) from None
+        self.segments[self.newest][0] = start + len(data)
+        self.written += len(data)
+        self.unsynced = True
+
+    def put(self, data):
+        view = memoryview(data)
+        while view:
+            view = view[self.disk.write(self.handle, view):]
+
+    def take_back(self, size):
+        """Nothing of a failed write may stay; where even that fails the segment is closed: what is torn at
+        its end is seen when it is read."""
+        try:
+            self.disk.truncate(self.handle, size)
+        except OSError:
+            self.leave()
+
+    def leave(self):
+        if self.handle is not None:
+            try:
+                if self.syncs and self.unsynced:
+                    self.disk.sync(self.handle)
+                self.disk.close(self.handle)
+            except OSError:
+                pass
+            self.handle = None
+
+    def begin(self):
+        """A new segment; its number is one that no file has or had."""
+        self.leave()
+        number = self.newest + 1
+        head = frames.header(number, self.relay)
+        try:
+            self.handle = self.disk.create(self.name(number))
+            self.put(head)
+        except OSError as cause:
+            if self.handle is not None:
+                self.disk.close(self.handle)
+                self.handle = None
+                try:
+                    self.disk.remove(self.name(number))
+                except OSError:
+                    pass
+            raise Full(str(cause)) from None
+        self.newest = number
+        self.segments[number] = [len(head), 0]
+        if self.syncs:
+            self.disk.sync_folder()
+
+    # What is live: bytes by segment.
+
+    def place(self, kind, told, number, size):
+        """A record stands in that segment; what it makes of its message's other records."""
+        if kind == MEMORY:
+            return
+        name = told[0]
+        entry = self.entries.get(name)
+        if kind == TAKEN and entry is None:
+            entry = self.entries[name] = Entry()
+        if kind == OWED and (entry is None or not entry.owed):
+            self.forget(name)
+            entry = self.entries[name] = Entry(entry.holds if entry else (), True)
+        if kind in (TAKEN, OWED):
+            entry.holds.add(number)
+        if kind == OVER:
+            self.forget(name)
+            self.entries.pop(name, None)
+            standing = [seg for seg in told[2:] if seg in self.segments and seg != number]
+            if standing:
+                self.segments[number][1] += size
+                self.ended_in.setdefault(max(standing), []).append((number, size))
+        elif entry is not None:
+            entry.bytes[number] += size
+            self.segments[number][1] += size
+
+    def forget(self, name):
+        entry = self.entries.get(name)
+        for number, size in entry.bytes.items() if entry else ():
+            if number in self.segments:
+                self.segments[number][1] -= size
+
+    def over(self, name, state):
+        """The record of an end: it names the segments that still hold the message."""
+        entry = self.entries.get(name)
+        return record(OVER, [name, state, *self.standing(entry)])
+
+    def standing(self, entry):
+        return sorted(seg for seg in entry.holds if seg in self.segments) if entry else []
+
+    # Compaction.
+
+    def wants(self):
+        return self.work is not None or plan.victim(self.table(), self.most) is not None
+
+    def step(self, hurry=False):
+        """One slice of compaction; False where there is nothing to do, or no way to do it."""
+        if self.work is None:
+            number = plan.victim(self.table(), self.most, hurry)
+            if number is None:
+                return False
+            self.work = self.compact(number)
+        end = self.clock() + plan.SLICE
+        try:
+            for _ in self.work:
+                if self.clock() >= end:
+                    return True
+        except (Full, OSError):
+            self.work = None
+            return False
+        self.work = None
+        return True
+
+    def compact(self, number):
+        """Copies what is live of one segment to the newest, then removes it; a stop a record."""
+        name = self.name(number)
+        moved = set()
+        for one in frames.scan(self.disk.read(name)):
+            if one.kind is not None and one.kind != MEMORY and one.told[0] not in moved:
+                if parts := self.still(one, number):
+                    moved.add(one.told[0])
+                    self.copy(parts)
+            yield
+        if self.syncs:
+            self.sync()
+        self.disk.remove(name)
+        self.removed(number)
+        self.compacted += 1
+
+    def copy(self, parts):
+        """A message's live records at their new place, all or none; its older ones count no more."""
+        data = b"".join(parts)
+        if not plan.fits(self.table(), len(data), self.most, False):
+            raise Full("no room to compact")
+        self.append(data)
+        self.copied += len(data)
+        name = parts[0].told[0]
+        if parts[0].kind != OVER:
+            self.forget(name)
+            before = self.entries.get(name)
+            self.entries[name] = Entry(before.holds if before else (), before is not None and before.owed)
+        for part in parts:
+            self.place(part.kind, part.told, self.newest, len(part))
+
+    def still(self, one, number):
+        """The records to write for what a compaction meets: none, where it is no more needed."""
+        name, entry = one.told[0], self.entries.get(one.told[0])
+        if one.kind == OVER:
+            if entry is not None:
+                return []
+            standing = [seg for seg in one.told[2:] if seg in self.segments and seg != number]
+            keeps = standing or self.remembered(name)
+            return [record(OVER, [name, one.told[1], *standing])] if keeps else []
+        if entry is None or not entry.bytes.get(number):
+            return []       # over, or all of it was copied on before
+        return self.refresh(name)
+
+    def removed(self, number):
+        del self.segments[number]
+        for seg, size in self.ended_in.pop(number, ()):
+            if seg in self.segments:
+                self.segments[seg][1] -= size
+
+    def sync(self):
+        if self.handle is not None and self.unsynced:
+            self.disk.sync(self.handle)
+        self.unsynced = False
+
+    def handle_to_sync(self):
+        """A handle for one sync beside the event loop, to be closed behind it; None where all is synced."""
+        if self.handle is None or not self.unsynced:
+            return None
+        self.unsynced = False
+        return self.disk.duplicate(self.handle)
+
+    def close(self):
+        self.leave()
+
+
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -10,7 +10,7 @@
                                                 an entry is (host, state, area, rate, kind, destination),
                                                 state ready, draining or gone, rate None if not listed
     memory(now)                                 asked now and then: what the next life is to know, plain lists
-    recall(now, told)                           that, told after the list of a new life
+    recall(now, told, at)                       that, told after the list of a new life, and when it was kept
     take(now, name, dst, lane, deadline, key, customer, again, legs)
                                                 legs of an earlier life, each (host, sent at, ending or None)
     withdraw(now, name)                         nobody wants the message any more
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -8,7 +8,7 @@
 import msgspec
 import orjson
 
-from courseroute.checked import Bad, Mistake, made
+from courseroute.checked import Bad, Mistake, made, span
 from courseroute.checked import read as read_toml
 from courseroute.model.terms import paths_of, terms_of
 from courseroute.run.setup import Setup, told_of
@@ -63,7 +63,8 @@
     return {
         "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
         "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
-        "log": msgspec.structs.asdict(setup.log),
+        "log": msgspec.structs.asdict(setup.log), "sync": setup.journal.sync,
+        "sync_every": span(setup.journal.every),
         "seed": int(setup.seed, 16) if setup.seed else random.SystemRandom().getrandbits(64),
         "memory": setup.limits.memory_mb << 20, "sockets": setup.limits.descriptors,
         "disk": int(setup.limits.disk_mb * 1_000_000),
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -13,8 +13,9 @@
 import orjson
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
-WARNINGS = ("full", "log cannot", "notices fail", "notices not", "discovery failed", "no descriptors",
-            "saved list not", "configuration not", "connection failed", "call failed")
+WARNINGS = ("full", "journal cannot", "journal damaged", "learned state not", "notices fail", "notices not",
+            "discovery failed", "no descriptors", "saved list not", "configuration not", "connection failed",
+            "call failed", "folder not")
 ERRORS = ("fault",)
 POLL = select.poll()
 POLL.register(1, select.POLLOUT)
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -7,10 +7,15 @@
 
 from courseroute.checked import Bad
 from courseroute.decide import HOUSE, Dispatcher
+from courseroute.journal.disk import Disk
+from courseroute.journal.frames import Newer
+from courseroute.journal.learned import Learned
+from courseroute.journal.lock import Held, lock
+from courseroute.journal.store import Journal
+from courseroute.journal.syncer import Syncer
 from courseroute.run import config
 from courseroute.run.logbook import say, set_log
 from courseroute.state.desk import Desk
-from courseroute.state.log import Log
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
@@ -19,6 +24,8 @@
 from courseroute.wire.notices import Notices
 from courseroute.wire.words import roster_of
 
+LAST_LIFE = 2.0         # seconds in which a process that was killed lets go of the folder
+
 
 class Phase(enum.Enum):
     STARTING = "starting"           # nothing is open yet
@@ -43,12 +50,17 @@
     async def run(self):
         told, house, terms = self.told, HOUSE, dict(self.told["terms"])
         kept_list = int(told["disk"] * house["kept_list"]) if told["keeps_list"] else 0
-        log = Log(told["state"], told["disk"] - 2 * kept_list, house["live"], house["log"])
+        syncs = told["sync"] != "off"
+        self.lock = lock(told["state"], LAST_LIFE)
+        learned = int(told["disk"] * house["learned"])
+        log = Journal(Disk(told["state"]), told["disk"] - 2 * (kept_list + learned), told["name"], syncs)
         self.roster = Roster(told["state"], kept_list) if kept_list else None
         most_calls = int(told["sockets"] * house["host_connections"])
         terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
         dispatcher = Dispatcher(told["seed"], terms)
         self.desk = desk = Desk(dispatcher, terms, house, log, told["memory"], self.clock, say)
+        desk.learned = Learned(told["state"], say, learned, syncs)
+        desk.syncer = Syncer(log, told["sync"], told["sync_every"], say)
         listener = trio.socket.socket()
         listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         await listener.bind(told["listen"])
@@ -76,6 +88,8 @@
             for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms):
                 nursery.start_soon(task)
             nursery.start_soon(self.sweep, pool)
+            nursery.start_soon(self.compact, log)
+            nursery.start_soon(desk.syncer.serve)
             await self.left.wait()
             await self.close(listener)
             nursery.cancel_scope.cancel()
@@ -148,10 +162,17 @@
                 self.alarm_at = None
                 self.desk.tell("wake")
 
+    async def compact(self, log):
+        """Slices of compaction between other work."""
+        while True:
+            busy = log.wants() and self.desk.guarded(log.step)
+            await trio.sleep(HOUSE["between_slices" if busy else "notice_pause"] / 1e9)
+
     async def sweep(self, pool):
         while True:
             await trio.sleep(HOUSE["sweep"] / 1e9)
             pool.sweep()
+            self.desk.write_late()
             self.desk.keep_lessons()
             if self.roster:
                 self.roster.write()
@@ -159,5 +180,10 @@
 
 def main(told):
     set_log(**told["log"], relay=told["name"])
-    trio.run(Relay(told).run)
-    return 0
+    code = 0
+    try:
+        trio.run(Relay(told).run)
+    except* (Newer, Held) as group:     # refused in one plain line, nothing touched
+        say("folder not usable", error=str(group.exceptions[0])[:300])
+        code = 2
+    return code
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -29,6 +29,12 @@
     form: Literal["json", "console"] = "json"
 
 
+class Sync(Form, kw_only=True):
+    """When what is written is safe from a power cut too; a process that ends loses nothing in any case."""
+    sync: Literal["off", "interval", "each"] = "off"
+    every: Span = "50ms"
+
+
 class Fleet(Form, kw_only=True):
     """This relay among those that share the partners' limits."""
     relays: Count = 1
@@ -96,6 +102,7 @@
     seed: Seed = ""             # empty: drawn at each start
     limits: Limits = msgspec.field(default_factory=Limits)
     log: Log = msgspec.field(default_factory=Log)
+    journal: Sync = msgspec.field(default_factory=Sync)
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     sending: Sending = msgspec.field(default_factory=Sending)
     rules: Rules = msgspec.field(default_factory=Rules)
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -6,26 +6,28 @@
 import traceback
 from collections import OrderedDict, deque
 
-from courseroute.state import log as records
-from courseroute.state.log import Full, record
+from courseroute.journal import frames as records
+from courseroute.journal.frames import record
+from courseroute.journal.store import DAMAGE, Full
 from courseroute.wire import words
 
 LEG, NOTICE, END = 160, 80, 40      # bytes of such a record in the log, beside the message's name
 
 
 class Held:
-    __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "promised",
-                 "legs", "ending", "size")
+    __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "at",
+                 "promised", "legs", "ending", "size")
 
-    def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again):
+    def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again, at=0):
         self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
         self.mark, self.key, self.customer, self.again = mark, key, customer, again
+        self.at = at        # taken on: the order among those of one key
         self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
         self.size = 0       # in the log, with room for all its legs
 
     def record(self):
         return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
-                                      self.customer, self.again], self.body)
+                                      self.customer, self.again, self.at], self.body)
 
     def records(self):
         return [self.record(), *(record(records.CALL, [self.name, n, host, at, ending])
@@ -40,10 +42,12 @@
         self.ends = OrderedDict()           # name -> delivered, returned, failed or over
         self.hosts = self.notices = self.discovery = self.alarm = self.leave = self.see_off = None
         self.waiting, self.telling, self.ready = deque(), False, False
-        self.lessons = b""                  # the record of what the module knows of the hosts
+        self.syncer = None
+        self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
+        self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
-        log.alive = self.live_records
+        log.refresh, log.remembered = self.live_records, self.ends.__contains__
 
     # Clients.
 
@@ -66,7 +70,7 @@
             return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
         now = self.clock()
         msg = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
-                   told["mark"], told["key"] or None, told["customer"], told["again"])
+                   told["mark"], told["key"] or None, told["customer"], told["again"], now)
         if gone or not self.ready or not self.room(self.measure(msg)):
             return 503, 0
         self.held[name] = msg
@@ -109,7 +113,12 @@
                 raise
 
     def fault(self, cause):
-        self.say("log cannot be written", error=str(cause)[:200], size=self.log.size, live=self.log.live)
+        self.say("journal cannot be written", error=str(cause)[:200], size=self.log.size, live=self.log.live)
+
+    async def settled(self):
+        """What was written is as safe as the settings ask."""
+        if self.syncer is not None:
+            await self.syncer.settled()
 
     # Hosts.
 
@@ -130,12 +139,24 @@
         return self.dispatcher.may_leave(self.clock(), name, n)
 
     def note(self, *parts):
-        """A record that only saves work after a restart, if it can be written."""
+        """A record that the next life goes by; one that can't be written is told, an end is tried again."""
         try:
             self.log.write(*parts)
         except Full as cause:
+            self.unwritten.update((part.told[0], part.kind) for part in parts if part.kind != records.BACK)
             self.fault(cause)
 
+    def write_late(self):
+        """Ends that could not be written when they came: without them a next life would send once more."""
+        for name, kind in list(self.unwritten.items()):
+            parts = self.live_records(name) if kind == records.OWED else [
+                self.log.over(name, self.ends.get(name, "over"))]
+            try:
+                self.log.write(*parts)
+                del self.unwritten[name]
+            except Full:
+                return
+
     # The module.
 
     def tell(self, what, *told):
@@ -229,13 +250,13 @@
     def told_of(self, names):
         """Notices that the platform has."""
         self.count(-sum(NOTICE + len(name) for name in names))
-        self.note(*(record(records.OVER, [name, self.owed.pop(name)[0]]) for name in names))
+        self.note(*(self.log.over(name, self.owed.pop(name)[0]) for name in names))
 
     def finish(self, msg, state):
         msg.ending = state, 0
         self.forget(msg, state)
         if msg.promised:
-            self.note(record(records.OVER, [msg.name, state]))
+            self.note(self.log.over(msg.name, state))
 
     def forget(self, msg, state):
         del self.held[msg.name]
@@ -257,29 +278,30 @@
     def keep_lessons(self):
         """Writes what the module's next life is to know, where it changed."""
         told = self.guarded(self.dispatcher.memory, self.clock())
-        lessons = record(records.MEMORY, told) if told else b""
-        if lessons != self.lessons:
-            self.count(len(lessons) - len(self.lessons))
-            self.lessons = lessons
-            self.note(lessons or record(records.MEMORY, []))
-
-    def live_records(self):
-        yield self.lessons
-        for name, state in self.ends.items():
-            if name not in self.owed:
-                yield record(records.OVER, [name, state])
-        for name, (state, after) in self.owed.items():
-            yield record(records.OWED, [name, state, after])
-        for msg in self.held.values():
-            if msg.promised:
-                yield from msg.records()
+        if told is not None and self.learned is not None:
+            try:
+                self.learned.keep(told, self.clock())
+            except OSError as cause:
+                self.fault(cause)
+
+    def live_records(self, name):
+        """What the journal must keep of a message: all of it while it is held, its end while that is owed."""
+        if name in self.owed:
+            state, after = self.owed[name]
+            return [record(records.OWED, [name, state, after])]
+        if msg := self.held.get(name):
+            return msg.records() if msg.promised else []
+        return [self.log.over(name, self.ends[name])] if name in self.ends else []
 
     def recover(self):
         """Reads the log back: what is owed its end is told to the module, which decides on each."""
-        lessons = []
+        doubtful = set()        # messages whose calls, or end, may stand in bytes that can't be read
         for kind, told, body in self.log.read():
-            if kind == records.MEMORY:
-                lessons = told
+            if kind == DAMAGE:
+                self.say("journal damaged", segment=told.segment, at=told.at, bytes=told.size)
+                doubtful.update(self.held)
+                continue
+            if kind == records.MEMORY:      # of an earlier version, which kept it here
                 continue
             name, msg = told[0], self.held.get(told[0])
             if kind == records.TAKEN and msg is None and name not in self.ends:
@@ -291,7 +313,7 @@
             elif kind == records.BACK and msg is not None and told[1] < len(msg.legs):
                 msg.legs[told[1]][2] = told[2]
             elif kind == records.OWED:
-                self.owed[name] = tuple(told[1:])
+                self.owed[name] = tuple(told[1:3])
             if kind in (records.OWED, records.OVER):
                 if msg is not None:
                     self.forget(msg, told[1])
@@ -301,8 +323,12 @@
         self.count(sum(NOTICE + len(name) for name in self.owed))
         for name, (state, after) in self.owed.items():
             self.notices.owe(name, state, after)
-        if lessons:
-            self.tell("recall", lessons)
-        for msg in list(self.held.values()):
+        if self.learned is not None:
+            told, at = self.learned.read()
+            if told:
+                self.tell("recall", told, at)
+        for name in sorted(doubtful & self.held.keys()):
+            self.held[name].legs.append(["", 0, None])      # it may have run, nobody knows when
+        for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
             self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
                       [tuple(leg) for leg in msg.legs])
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -114,6 +114,8 @@
                 if extra:
                     raise Refused(503, "no room for more connections")
                 status, headers, body = self.desk.answer(request, gone(guest.sock))
+                if status == 202:
+                    await self.desk.settled()
                 await self.write(stream, door.answer(status, headers, body, close=self.closing or guest.last))
                 if door.over:
                     return
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -87,6 +87,7 @@
         self.held_back = self.link is None or not hosts.desk.may_leave(self.msg.name, self.n)
         if self.held_back:
             return
+        await hosts.desk.settled()
         fields = words.call_head(self.msg, self.until - hosts.clock())
         await self.link.send("POST", "/hook", fields, self.msg.body)
         self.written = True
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,388 @@
+"""The journal in segments: cut off, full, damaged, old; what was learned; its tools."""
+import errno
+import fcntl
+import os
+
+import orjson
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from courseroute.journal import frames, old, plan, tools, torture
+from courseroute.journal.disk import Disk
+from courseroute.journal.faulty import Crash, FaultyDisk
+from courseroute.journal.frames import OVER, OWED, TAKEN, Newer, record
+from courseroute.journal.learned import Learned
+from courseroute.journal.lock import Held, lock
+from courseroute.journal.plan import Segment, victim
+from courseroute.journal.store import DAMAGE, Full, Journal
+from courseroute.journal.syncer import Syncer
+
+K = 1000
+TEN = [record(TAKEN, [f"m{i}", "7"], b"\n{body}\xc0\xde" * (i + 1)) for i in range(10)]
+SEGMENT = frames.header(1, "n0") + b"".join(TEN)
+
+
+def told(data):
+    return [(one.kind, one.told[0] if one.kind else (one.end - one.at, one.torn))
+            for one in frames.scan(data)]
+
+
+# The format.
+
+
+def test_records_are_read_as_they_were_written():
+    assert frames.header_of(SEGMENT) == 1
+    assert [one.body for one in frames.scan(SEGMENT)] == [b"\n{body}\xc0\xde" * (i + 1) for i in range(10)]
+
+
+@settings(max_examples=200)
+@given(st.integers(frames.HEADER.size, len(SEGMENT) - 1), st.integers(1, 255))
+def test_a_changed_byte_costs_its_own_record_and_is_seen(at, change):
+    data = bytearray(SEGMENT)
+    data[at] ^= change
+    good = [name for kind, name in told(bytes(data)) if kind]
+    bad = [one for kind, one in told(bytes(data)) if not kind]
+    assert len(good) == 9 and len(bad) == 1 and set(good) < {f"m{i}" for i in range(10)}
+
+
+@given(st.integers(frames.HEADER.size, len(SEGMENT)))
+def test_a_cut_costs_what_is_behind_it_and_counts_as_torn(cut):
+    found = told(SEGMENT[:cut])
+    names = [name for kind, name in found if kind]
+    assert names == [f"m{i}" for i in range(len(names))]
+    assert [one[1] for kind, one in found if not kind] in ([], [True])
+
+
+@given(st.binary(max_size=300))
+def test_noise_is_no_record(noise):
+    assert not any(kind for kind, _ in told(b"x" * frames.HEADER.size + noise))
+
+
+@pytest.mark.parametrize("change, number", [
+    (lambda head: head, 1), (lambda head: head[:20], None), (lambda head: b"x" + head[1:], None),
+    (lambda head: head[:12] + b"\7" + head[13:], None)])
+def test_a_header_is_known_or_not(change, number):
+    assert frames.header_of(change(frames.header(1, "n0"))) == number
+
+
+# The plan.
+
+
+@pytest.mark.parametrize("sizes, most, hurry, number", [
+    ([(90, 0), (90, 90)], 100 * K, False, None),        # little is used: nothing is done
+    ([(3 * K, 0), (3 * K, 3 * K)], 10 * K, False, 0), ([(3 * K, 3 * K), (3 * K, 0)], 10 * K, False, None),
+    ([(3 * K, 2 * K), (3 * K, 1 * K), (2 * K, 0)], 10 * K, False, 1),
+    ([(30 * K, 20 * K), (30 * K, 15 * K), (9 * K, 0)], 100 * K, False, 1),
+    ([(30 * K, 29 * K), (9 * K, 0)], 100 * K, False, None),     # not short, and little would be freed
+    ([(30 * K, 29 * K), (9 * K, 0)], 100 * K, True, 0),
+    ([(90 * K, 80 * K), (9 * K, 0)], 100 * K, True, None),      # no room for the copy
+])
+def test_which_segment_is_compacted_next(sizes, most, hurry, number):
+    segments = [Segment(i, size, live) for i, (size, live) in enumerate(sizes)]
+    assert victim(segments, most, hurry) == number
+
+
+@given(st.lists(st.tuples(st.integers(40, 90 * K), st.floats(0, 1)), min_size=1, max_size=30),
+       st.integers(100 * K, 3000 * K), st.booleans())
+def test_a_victim_is_closed_its_copy_fits_and_it_frees_something(sizes, most, hurry):
+    segments = [Segment(i, size, int(size * share)) for i, (size, share) in enumerate(sizes)]
+    number = victim(segments, most, hurry)
+    if number is not None:
+        assert number < len(segments) - 1 and segments[number].live < segments[number].size
+        assert plan.used(segments) + plan.on_disk(segments[number].live) <= most
+
+
+# Cut off anywhere.
+
+
+def test_every_call_of_a_script_may_be_the_last_one():
+    assert torture.cut_everywhere(3, 90) > 200
+
+
+def test_random_lives_with_full_and_failing_disks_lose_nothing():
+    for seed in range(1000, 1060):
+        torture.cut_at_random(seed, 250)
+
+
+@pytest.mark.parametrize("name, wrong", [
+    ("standing", lambda self, entry: []),               # ends don't outlast the message's older segments
+    ("copy", lambda self, parts: None),                 # live records are not copied on
+    ("take_back", lambda self, size: None),             # torn writes stay
+])
+def test_the_torture_sees_a_journal_that_is_wrong(monkeypatch, name, wrong):
+    monkeypatch.setattr(Journal, name, wrong)
+    with pytest.raises((AssertionError, KeyError)):
+        torture.cut_everywhere(3, 70)
+        for seed in range(1000, 1060):
+            torture.cut_at_random(seed, 250)
+
+
+def test_a_power_cut_costs_nothing_that_was_synced():
+    acts = [act for act in torture.script(5, 120) if act[0] != "told"]
+    whole = FaultyDisk()
+    torture.play(acts, whole, torture.Model())
+    for at in range(3, whole.calls, 3):
+        disk, model = FaultyDisk(), torture.Model()
+        disk.crash_at = at
+        desk = torture.desk_on(disk, syncs=True)
+        try:
+            for act in acts:
+                model.act(desk, *act)
+                desk.log.sync()         # as with `each`
+        except Crash:
+            pass
+        model.check(torture.desk_on(disk.after(power_cut=True)))
+
+
+# Full disks.
+
+
+def filled(most, size):
+    """A journal filled with messages until there is no room; their names."""
+    journal = Journal(FaultyDisk(most), most, "n0")
+    list(journal.read())
+    journal.refresh, journal.remembered = (lambda name: []), (lambda name: False)
+    names = []
+    while journal.room(size):
+        made = record(TAKEN, [f"m{len(names)}"], b"x" * (size - 60))
+        journal.write(made)
+        journal.live += len(made)
+        names.append(f"m{len(names)}")
+    return journal, names
+
+
+@pytest.mark.parametrize("most", [1_000_000, 3_000_000, 60_000_000])
+@pytest.mark.parametrize("size", [300, 60_000])
+def test_live_messages_may_fill_three_quarters_and_all_can_still_end(most, size):
+    journal, names = filled(most, size)
+    assert journal.live >= 0.75 * most - size and journal.disk.used() <= most
+    for name in names:      # each end is written though nothing new would fit
+        journal.write(journal.over(name, "delivered"))
+        journal.live -= size
+        journal.step()
+    assert journal.disk.used() <= most
+    while journal.step(hurry=True):
+        pass
+    assert journal.room(size) and journal.size < most // 4
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_call_that_fails_leaves_nothing_torn_and_room_is_seen_again(code):
+    for at in range(1, 5):
+        disk = FaultyDisk()
+        journal = Journal(disk, 100 * K, "n0")
+        list(journal.read())
+        disk.fails = {at: code}
+        wrote = []
+        for one in TEN:
+            try:
+                journal.write(one)
+                wrote.append(one.told[0])
+            except Full:
+                pass
+        assert len(wrote) == 9
+        again = Journal(disk.after(), 100 * K)
+        assert [fields[0] for _, fields, _ in again.read()] == wrote and not again.losses
+
+
+# Damage, foreign files, other versions.
+
+
+def test_damage_is_counted_by_place_and_what_it_may_hide_counts_as_run(tmp_path):
+    desk = torture.desk_on(Disk(tmp_path))
+    model = torture.Model()
+    for name in ("a", "b", "c"):
+        model.act(desk, "take", name, 50)
+    path = tmp_path / "seg-0000000001"
+    data = bytearray(path.read_bytes())
+    data[data.index(b'["b"') + 3] ^= 1
+    path.write_bytes(data)
+    (tmp_path / "seg-0000000000").write_bytes(b"something else")
+    (tmp_path / "notes.txt").write_text("foreign")
+    again = torture.desk_on(Disk(tmp_path))
+    assert list(again.held) == ["a", "c"] and again.dispatcher.taken["a"] == [("", 0, None)]
+    assert again.dispatcher.taken["c"] == []        # taken on behind the damage
+    assert [event for event, _ in again.said] == ["journal damaged"] * 2
+    assert (tmp_path / "bad-seg-0000000000").exists()
+    assert [(loss.segment, loss.size > 20) for loss in again.log.losses] == [(0, False), (1, True)]
+
+
+def test_a_newer_version_is_refused_and_left_as_it_is(tmp_path):
+    head = bytearray(frames.header(1, "n0"))
+    head[8] = 9
+    head[-4:] = frames.xxhash.xxh32_intdigest(bytes(head[:-4])).to_bytes(4, "little")
+    (tmp_path / "seg-0000000001").write_bytes(head)
+    with pytest.raises(Newer, match="format 9"):
+        list(Journal(Disk(tmp_path), 100 * K).read())
+    assert (tmp_path / "seg-0000000001").read_bytes() == bytes(head)
+
+
+OLD = b"".join((old.record(TAKEN, ["a", "7", "x", 9, "", None, "", False], b"\nbody"),
+                old.record(TAKEN, ["b", "7", "x", 9, "", None, "", False], b"other"),
+                old.record(OVER, ["b", "delivered"]), old.record(OWED, ["c", "failed", 0]), b"\x07torn"))
+
+
+def test_an_older_log_is_turned_over_though_cut_off_anywhere():
+    def fresh():
+        disk = FaultyDisk()
+        disk.files = {"log": bytearray(OLD), "log.new": bytearray(b"half")}
+        return disk
+    whole = fresh()
+    torture.desk_on(whole)
+    for at in range(1, whole.calls + 2):
+        for part in (0, 0.5, 1.0):
+            disk = fresh()
+            disk.crash_at, disk.part = at, part
+            try:
+                torture.desk_on(disk)
+            except Crash:
+                pass
+            desk = torture.desk_on(disk.after())
+            assert list(desk.held) == ["a"] and desk.held["a"].body == b"\nbody" and desk.owed == {
+                "c": ("failed", 0)} and desk.ends["b"] == "delivered"
+            assert not {"log", "log.new"} & set(desk.log.disk.files)
+
+
+# What was learned.
+
+
+def test_learned_state_is_whole_or_as_before_wherever_a_write_is_cut_off():
+    cuts = 0
+    for at in range(1, 9):
+        for part in (0, 0.3, 1.0):
+            disk = FaultyDisk()
+            Learned("", None, disk=disk).keep([["h", [1], [2]]], 5)
+            disk.crash_at, disk.part = disk.calls + at, part
+            try:
+                Learned("", None, disk=disk).keep([["h", [3], [4]]], 9)
+            except Crash:
+                cuts += 1
+            for power_cut in (False, True):
+                found = Learned("", print, disk=disk.after(power_cut)).read()
+                assert found in (([["h", [1], [2]]], 5), ([["h", [3], [4]]], 9))
+    assert cuts >= 9
+
+
+@pytest.mark.parametrize("change, kept", [
+    (lambda data: data, True), (lambda data: data[:-1], False), (lambda data: b"", False),
+    (lambda data: data.replace(b'"version":2', b'"version":1'), True),
+    (lambda data: data.replace(b'"version":2', b'"version":3'), False),
+    (lambda data: data.replace(b"7]", b"8]"), False), (lambda data: b"{}\n[]", False),
+])
+def test_a_learned_file_is_read_or_set_aside(tmp_path, change, kept):
+    said = []
+    learned = Learned(tmp_path, lambda event, **more: said.append(event))
+    told = [["h", [], [7]]]
+    assert learned.read() == ([], 0) and learned.keep(told, 5) and not learned.keep(told, 6)
+    path = tmp_path / "learned"
+    path.write_bytes(change(path.read_bytes()))
+    again = Learned(tmp_path, lambda event, **more: said.append(event)).read()
+    assert again == ((told, 5) if kept else ([], 0))
+    assert bool(said) == (not kept) == (tmp_path / "learned.bad").exists()
+    assert not Learned(tmp_path, None, most=5).keep([["long"] * 9], 7)
+
+
+# Syncs.
+
+
+def test_an_answer_waits_for_its_sync_and_many_share_one():
+    disk = FaultyDisk()
+    journal = Journal(disk, 100 * K, "n0", True)
+    syncs = []
+
+    async def message(syncer, one):
+        journal.write(one)
+        await syncer.settled()
+        syncs.append(len(disk.synced.get("seg-0000000001", b"")))
+
+    async def play():
+        syncer = Syncer(journal, "each", 10 ** 6, print)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(syncer.serve)
+            async with trio.open_nursery() as messages:
+                for one in TEN:
+                    messages.start_soon(message, syncer, one)
+            nursery.cancel_scope.cancel()
+    list(journal.read())
+    trio.run(play)
+    assert syncs == [len(disk.files["seg-0000000001"])] * 10 and disk.calls < 15
+
+
+def test_a_sync_that_fails_is_told_once_and_tried_again():
+    disk, said = FaultyDisk(), []
+    journal = Journal(disk, 100 * K, "n0", True)
+    list(journal.read())
+
+    async def play():
+        syncer = Syncer(journal, "each", 10 ** 6, lambda event, **more: said.append(event))
+        journal.write(TEN[0])
+        disk.fails = {disk.calls + 1: errno.EIO, disk.calls + 2: errno.EIO}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(syncer.serve)
+            with trio.fail_after(2):
+                await syncer.settled()
+            nursery.cancel_scope.cancel()
+    trio.run(play)
+    assert said == ["journal cannot be synced"]
+
+
+# The tools.
+
+
+@pytest.fixture
+def folder(tmp_path):
+    path = tmp_path / "state"
+    path.mkdir()
+    desk, model = torture.desk_on(Disk(path)), torture.Model()
+    for act in torture.script(11, 150):
+        model.act(desk, *act)
+    desk.log.close()
+    return path, desk
+
+
+def test_the_tools_tell_what_a_folder_holds_and_a_damaged_one_is_salvaged(folder, tmp_path):
+    path, desk = folder
+    now = tools.state(path)
+    assert set(now["held"]) == set(desk.held) and set(now["owed"]) == set(desk.owed) and not now["bad"]
+    assert tools.verify(path) == [] and tools.stat(path)["held"] == len(desk.held)
+    assert all(orjson.loads(line)["kind"] for line in tools.lines(path))
+    before, after = tools.compact(path, 60_000)
+    assert after < before and set(tools.state(path)["held"]) == set(desk.held)
+    name, _, data = next(iter(tools.segments(path)))
+    first = next(iter(desk.held))
+    data = bytearray(data)
+    data[data.index(b'"%s"' % first.encode()) + 2] ^= 1
+    (path / name).write_bytes(data)
+    assert [one["kind"] for one in tools.verify(path)] == ["damaged"]
+    bad = tools.salvage(path, tmp_path / "fresh")
+    again = torture.desk_on(Disk(tmp_path / "fresh"))
+    assert len(bad) == 1 and set(again.held) == set(desk.held) - {first}
+    assert set(again.owed) == set(desk.owed) and not again.log.losses
+    with pytest.raises(FileExistsError):
+        tools.salvage(path, tmp_path / "fresh")
+
+
+def test_a_folder_in_use_is_not_mended(folder):
+    path, _ = folder
+    handle = lock(path)
+    with pytest.raises(Held):
+        tools.compact(path, 60_000)
+    os.close(handle)
+    fcntl.flock(os.open(path, os.O_RDONLY), fcntl.LOCK_SH)      # another kind of lock holds it as well
+    with pytest.raises(Held):
+        lock(path)
+
+
+def test_compaction_while_reading_keeps_damage_apart():
+    disk = FaultyDisk()
+    journal = Journal(disk, 100 * K, "n0")
+    list(journal.read())
+    journal.write(*TEN[:3])
+    journal.begin()
+    journal.write(*TEN[3:])
+    data = disk.files["seg-0000000001"]
+    data[60] ^= 1
+    found = list(Journal(disk.after(), 100 * K).read())
+    assert [kind for kind, _, _ in found].count(DAMAGE) == 1 and len(found) == 10
