--- a/courseroute/journal/plan.py
+++ b/courseroute/journal/plan.py
@@ -8,7 +8,7 @@
 SEGMENTS, LEAST_SEGMENT, MOST_SEGMENT = 24, 16 << 10, 4 << 20
 LIVE_SHARE = 0.78       # of the disk that live messages may fill, with room for their legs and ends
 RESERVE, LEAST_RESERVE = 2, 160 << 10       # segments, bytes kept for ends, calls and copies: not for new
-START, WASTE = 4, 0.5   # compaction begins below so many free segments; above a quarter where so much is dead
+START, WASTE = 4, 0.5   # compaction begins below so many free segments; above half where so much is dead
 SLICE = 2_000_000       # nanoseconds of work at a stretch
 
 
@@ -35,9 +35,15 @@
     return sum(on_disk(segment.size) for segment in segments)
 
 
-def fits(segments, size, most, reserved):
-    """Whether so many bytes more may be written; `reserved`: by one who may not use the reserve."""
-    return used(segments) + size + 2 * SECTORS <= most - (reserve(most) if reserved else 0)
+def fits(total, size, most, reserved):
+    """Whether so many bytes more may be written beside the `total`; `reserved`: by one who may not use the
+    reserve."""
+    return total + size + 2 * SECTORS <= most - (reserve(most) if reserved else 0)
+
+
+def pays(total, live, most):
+    """Whether a look for a victim may find one: cheap, asked often."""
+    return total > most // 2 and total > live or most - total < START * segment_size(most)
 
 
 def may_take(live, size, most):
@@ -51,7 +57,7 @@
     closed = segments[:-1]
     free = most - used(segments)
     short = hurry or free < START * segment_size(most)
-    if not short and used(segments) <= most // 4:
+    if not short and used(segments) <= most // 2:
         return None
     best = max(closed, key=lambda one: ((one.size - one.live) / (one.live + 1), -one.number), default=None)
     if best is None or best.live >= best.size:
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -7,14 +7,14 @@
 which says what is live (`refresh`), and by `run.relay` (`step`).
 """
 import time
-from collections import Counter
 from typing import NamedTuple
 
 from courseroute.journal import frames, old, plan
-from courseroute.journal.frames import MEMORY, OVER, OWED, TAKEN, record
+from courseroute.journal.frames import BACK, CALL, MEMORY, OVER, OWED, TAKEN, record
 
 PREFIX = "seg-"
 AT_ONCE = 16            # slices of compaction at once, where a record would not fit without them
+LEGS = (CALL, BACK)
 DAMAGE = b"?"           # a stretch that could not be read, as a record of its own kind
 
 
@@ -35,7 +35,7 @@
     __slots__ = ("bytes", "holds", "owed")
 
     def __init__(self, holds=(), owed=False):
-        self.bytes, self.holds, self.owed = Counter(), set(holds), owed
+        self.bytes, self.holds, self.owed = {}, set(holds), owed
 
 
 class Journal:
@@ -48,6 +48,7 @@
         self.refresh = None             # a method: the records of a message that is held or owed, else []
         self.remembered = None          # a method: whether a message's end is still to be known
         self.work = None                # the compaction under way
+        self.total, self.dead_seen = 0, 0       # bytes on the disk; the dead ones when none paid to compact
         self.unsynced, self.losses, self.compacted, self.copied, self.written = False, [], 0, 0, 0
 
     # Reading.
@@ -69,7 +70,7 @@
                     self.disk.rename(name, f"bad-{name}")
                     yield DAMAGE, self.losses[-1], b""
                 continue
-            self.segments[number] = [len(data), 0]
+            self.sized(number, len(data))
             last = name == self.names()[-1]
             for one in frames.scan(data):
                 if one.kind is not None:
@@ -77,7 +78,7 @@
                     yield one.kind, one.told, one.body
                 elif one.torn or last and one.end == len(data):
                     self.disk.cut(name, one.at)
-                    self.segments[number][0] = one.at
+                    self.sized(number, one.at)
                 else:
                     self.losses.append(Loss(number, one.at, one.end - one.at))
                     yield DAMAGE, self.losses[-1], b""
@@ -111,7 +112,7 @@
         for name in (old.SPARE, old.NAME):
             if name in names:
                 self.disk.remove(name)
-        self.segments, self.entries, self.ended_in, self.newest = {}, {}, {}, 0
+        self.segments, self.entries, self.ended_in, self.newest, self.total = {}, {}, {}, 0, 0
 
     # Room.
 
@@ -122,29 +123,37 @@
         """Whether a message with so many bytes may still be taken on."""
         if not plan.may_take(self.live, size, self.most):
             return False
-        if not plan.fits(self.table(), size, self.most, True):
+        if not plan.fits(self.total, size, self.most, True):
             self.make_room(size)
-        return plan.fits(self.table(), size, self.most, True)
+        return plan.fits(self.total, size, self.most, True)
 
     def make_room(self, size, reserved=True):
         """Compacts at once, for some slices: better than to turn away what would fit."""
         for _ in range(AT_ONCE):
-            if plan.fits(self.table(), size, self.most, reserved) or not self.step(hurry=True):
+            if plan.fits(self.total, size, self.most, reserved) or not self.step(hurry=True):
                 return
 
     @property
     def size(self):
-        return plan.used(self.table())
+        return self.total
+
+    def sized(self, number, size):
+        """A segment has so many bytes now; None: it is gone."""
+        if number in self.segments:
+            self.total -= plan.on_disk(self.segments[number][0])
+        if size is not None:
+            self.segments.setdefault(number, [0, 0])[0] = size
+            self.total += plan.on_disk(size)
 
     # Writing.
 
     def write(self, *parts):
         """Writes whole records, or raises Full with nothing of them left behind."""
-        data = b"".join(parts)
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
         reserved = data[2:3] == TAKEN
-        if not plan.fits(self.table(), len(data), self.most, reserved):
+        if not plan.fits(self.total, len(data), self.most, reserved):
             self.make_room(len(data), reserved)
-            if not plan.fits(self.table(), len(data), self.most, reserved):
+            if not plan.fits(self.total, len(data), self.most, reserved):
                 raise Full("the journal is full")
         self.append(data)
         for part in parts:
@@ -153,20 +162,22 @@
     def append(self, data):
         if self.handle is None or self.segments[self.newest][0] >= self.size_of_segment:
             self.begin()
-        start = self.segments[self.newest][0]
+        segment, size = self.segments[self.newest], len(data)
+        start = segment[0]
         try:
             self.put(data)
         except OSError as cause:
             self.take_back(start)
             raise Full(str(cause)) from None
-        self.segments[self.newest][0] = start + len(data)
-        self.written += len(data)
+        segment[0] = start + size
+        self.total += plan.on_disk(start + size) - plan.on_disk(start)
+        self.written += size
         self.unsynced = True
 
     def put(self, data):
-        view = memoryview(data)
-        while view:
-            view = view[self.disk.write(self.handle, view):]
+        count = self.disk.write(self.handle, data)
+        while count < len(data):
+            count += self.disk.write(self.handle, memoryview(data)[count:])
 
     def take_back(self, size):
         """Nothing of a failed write may stay; where even that fails the segment is closed: what is torn at
@@ -204,7 +215,7 @@
                     pass
             raise Full(str(cause)) from None
         self.newest = number
-        self.segments[number] = [len(head), 0]
+        self.sized(number, len(head))
         if self.syncs:
             self.disk.sync_folder()
 
@@ -216,6 +227,10 @@
             return
         name = told[0]
         entry = self.entries.get(name)
+        if entry is not None and kind in LEGS:
+            entry.bytes[number] = entry.bytes.get(number, 0) + size
+            self.segments[number][1] += size
+            return
         if kind == TAKEN and entry is None:
             entry = self.entries[name] = Entry()
         if kind == OWED and (entry is None or not entry.owed):
@@ -231,7 +246,7 @@
                 self.segments[number][1] += size
                 self.ended_in.setdefault(max(standing), []).append((number, size))
         elif entry is not None:
-            entry.bytes[number] += size
+            entry.bytes[number] = entry.bytes.get(number, 0) + size
             self.segments[number][1] += size
 
     def forget(self, name):
@@ -251,7 +266,18 @@
     # Compaction.
 
     def wants(self):
-        return self.work is not None or plan.victim(self.table(), self.most) is not None
+        """Whether a slice of compaction would pay; looked at closely only where enough has died since."""
+        if self.work is not None:
+            return True
+        live = sum(live for _, live in self.segments.values())
+        dead = self.total - live
+        seen = abs(dead - self.dead_seen) < self.size_of_segment // 8
+        if seen or not plan.pays(self.total, live, self.most):
+            return False
+        if plan.victim(self.table(), self.most) is not None:
+            return True
+        self.dead_seen = dead
+        return False
 
     def step(self, hurry=False):
         """One slice of compaction; False where there is nothing to do, or no way to do it."""
@@ -290,7 +316,7 @@
     def copy(self, parts):
         """A message's live records at their new place, all or none; its older ones count no more."""
         data = b"".join(parts)
-        if not plan.fits(self.table(), len(data), self.most, False):
+        if not plan.fits(self.total, len(data), self.most, False):
             raise Full("no room to compact")
         self.append(data)
         self.copied += len(data)
@@ -316,6 +342,7 @@
         return self.refresh(name)
 
     def removed(self, number):
+        self.sized(number, None)
         del self.segments[number]
         for seg, size in self.ended_in.pop(number, ()):
             if seg in self.segments:
