--- a/courseroute/journal/frames.py
+++ b/courseroute/journal/frames.py
@@ -17,6 +17,7 @@
 MARK, RECORD = b"courjrnl", b"\xc0\xde"
 MOST = 1 << 24          # no record is larger
 TAKEN, CALL, BACK, OWED, OVER, MEMORY = b"T", b"C", b"B", b"N", b"O", b"M"
+PASSED = 64             # records passed over between two looks at the clock
 KINDS = (TAKEN, CALL, BACK, OWED, OVER, MEMORY)
 
 
@@ -106,6 +107,27 @@
             at = found.end
 
 
+def skim(data, wanted, at=HEADER.size):
+    """Yields the records of one kind in a segment that should be whole; others are passed over unread, with
+    a None now and then to look at the clock. ValueError where the segment turns out not to be whole."""
+    passed = 0
+    while at < len(data):
+        if len(data) - at < HEAD.size:
+            raise ValueError("a torn head")
+        mark, kind, nought, size, _ = HEAD.unpack_from(data, at)
+        if mark != RECORD or nought or kind not in KINDS or at + HEAD.size + size > len(data):
+            raise ValueError("no record's head")
+        if kind == wanted:
+            one = whole(data, at)
+            if one is None:
+                raise ValueError("a damaged record")
+            yield one
+        passed += 1
+        if passed % PASSED == 0:
+            yield None
+        at += HEAD.size + size
+
+
 def resync(data, at):
     """Where the next good record begins, None where none does."""
     while (at := data.find(RECORD, at)) >= 0:
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -301,8 +301,8 @@
         """Copies what is live of one segment to the newest, then removes it; a stop a record."""
         name = self.name(number)
         moved = set()
-        for one in frames.scan(self.disk.read(name)):
-            if one.kind is not None and one.kind != MEMORY and one.told[0] not in moved:
+        for one in self.stretches(self.disk.read(name), number):
+            if one is not None and one.kind is not None and one.kind != MEMORY and one.told[0] not in moved:
                 if parts := self.still(one, number):
                     moved.add(one.told[0])
                     self.copy(parts)
@@ -313,6 +313,16 @@
         self.removed(number)
         self.compacted += 1
 
+    def stretches(self, data, number):
+        """All of a segment, or where nothing of it is live its ends: only they may matter still."""
+        if not self.segments[number][1]:
+            try:
+                yield from frames.skim(data, OVER)
+                return
+            except ValueError:
+                pass
+        yield from frames.scan(data)
+
     def copy(self, parts):
         """A message's live records at their new place, all or none; its older ones count no more."""
         data = b"".join(parts)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,5 @@
 """The journal in segments: cut off, full, damaged, old; what was learned; its tools."""
+import contextlib
 import errno
 import fcntl
 import os
@@ -55,6 +56,19 @@
     assert [one[1] for kind, one in found if not kind] in ([], [True])
 
 
+@given(st.integers(frames.HEADER.size, len(SEGMENT) - 1), st.booleans())
+def test_skimming_finds_one_kind_or_sees_that_the_segment_is_not_whole(at, cut):
+    ends = b"".join(record(OVER, [f"e{i}", "over"]) for i in range(3))
+    whole = SEGMENT + ends
+    assert [one.told[0] for one in frames.skim(whole, OVER) if one] == ["e0", "e1", "e2"]
+    heads = {one.at + i for one in frames.scan(SEGMENT) for i in range(4)}
+    if cut or at in heads:
+        broken = whole[:at] if cut else whole[:at] + b"\xff" + whole[at + 1:]
+        edge = cut and at in {one.at for one in frames.scan(SEGMENT)}
+        with contextlib.nullcontext() if edge else pytest.raises(ValueError):
+            list(frames.skim(broken, OVER))
+
+
 @given(st.binary(max_size=300))
 def test_noise_is_no_record(noise):
     assert not any(kind for kind, _ in told(b"x" * frames.HEADER.size + noise))
