--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """The one file of helpers: a relay under hand-held time, and a real one among stand-ins."""
+import contextlib
 import http.client
 import json
 import os
@@ -164,3 +165,12 @@
             return True
         time.sleep(0.02)
     return bool(true())
+
+
+def used(folder):
+    """Bytes in a folder; a file may go while they are counted."""
+    size = 0
+    for file in folder.iterdir():
+        with contextlib.suppress(FileNotFoundError):
+            size += file.stat().st_size
+    return size
