--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -167,7 +167,7 @@
     return bool(true())
 
 
-def used(folder):
+def bytes_in(folder):
     """Bytes in a folder; a file may go while they are counted."""
     size = 0
     for file in folder.iterdir():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,7 @@
 import time
 
 import pytest
-from helpers import Town, until, used
+from helpers import Town, bytes_in, until
 
 
 @pytest.fixture
@@ -213,7 +213,7 @@
         town.start()
         answers = [town.hand_in(f"m{i}", body=b"x" * size, left="30000m") for i in range(cap + 30)]
         assert set(answers) == {202, 503} and answers.count(202) <= cap
-        used = used(tmp_path / "state")
+        used = bytes_in(tmp_path / "state")
         assert used <= town.limits["disk_mb"] * 1_000_000
     finally:
         town.close()
@@ -226,7 +226,7 @@
         most = 0
         for i in range(60):
             assert town.hand_in(f"m{i}", body=b"x" * 30000) == 202
-            most = max(most, used(tmp_path / "state"))
+            most = max(most, bytes_in(tmp_path / "state"))
         assert 200_000 < most <= 1_000_000 and until(lambda: len(town.calls) == 60)
     finally:
         town.close()
