Read again: salted records, syncs that leave nothing out, one reader of a folder

Found by reading the whole change once more: - A client's body could hold a forged record that the search behind a damaged one took for genuine. Each segment's checksums are now seeded with a random salt in its header; a test forges an end. - A segment closed before its sync was taken for safe, and compaction trusted a sync still under way beside the loop: with `each` a power cut could cost what was answered 202. Handles stay until their sync came back; a failed one keeps them. A relay that does not get ready after a restart is named. structlog is asked for, not guessed from what is loaded. Unused parts gone.

--- a/courseroute/checked.py
+++ b/courseroute/checked.py
@@ -7,7 +7,7 @@
 import difflib
 import re
 import tomllib
-from typing import Annotated, Any, NamedTuple, Union, get_args, get_origin
+from typing import Annotated, NamedTuple, Union, get_args, get_origin
 
 import msgspec
 
@@ -20,7 +20,6 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
-BY_PATTERN = {SPAN_ALLOWED: SPAN_ALLOWED, PLACE_ALLOWED: PLACE_ALLOWED}
 
 
 class Form(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
@@ -171,6 +170,6 @@
         if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
             yield from keys(kind, here, maps)
         else:
-            default: Any = field.default if field.default is not msgspec.NODEFAULT else None
+            default = field.default if field.default is not msgspec.NODEFAULT else None
             yield here, allowed_by(described, getattr(kind, "__name__", str(kind))), (
                 "required" if field.required else default)
--- a/courseroute/command/main.py
+++ b/courseroute/command/main.py
@@ -56,9 +56,9 @@
 @FILE
 def serve(file):
     """Run one relay, set by the configuration FILE."""
-    import structlog  # noqa: F401  (the relay's log then renders through it)
-
     from courseroute.__main__ import start
+    from courseroute.run.logbook import BOOK
+    BOOK.structured = True
     os.environ["ROUTER_CONFIG"] = str(file)
     sys.exit(start())
 
@@ -190,10 +190,10 @@
 
 
 def mend(what):
-    from courseroute.journal import frames, tools
+    from courseroute.journal import frames, lock, tools
     try:
         return what(tools)
-    except (tools.Held, frames.Newer, OSError) as cause:
+    except (lock.Held, frames.Newer, OSError) as cause:
         click.echo(str(cause), err=True)
         sys.exit(2)
 
@@ -256,7 +256,7 @@
     if kept and place.exists() and any(place.iterdir()):
         raise click.UsageError(f"{place} is not empty")
     try:
-        with show.live(day, name, quiet) as watch:
+        with show.live(name, quiet) as watch:
             result = trio.run(play, day, place, shlex.split(command) if command else None, watch, kept)
         told = figures(result)
         if kept:
--- a/courseroute/command/show.py
+++ b/courseroute/command/show.py
@@ -60,7 +60,7 @@
 
 
 @contextlib.contextmanager
-def live(day_played, name, quiet):
+def live(name, quiet):
     """A table of the destinations while the day runs, on a terminal only; None elsewhere."""
     if quiet or not OUT.is_terminal:
         yield None
--- a/courseroute/journal/frames.py
+++ b/courseroute/journal/frames.py
@@ -1,9 +1,11 @@
 """The journal's format, down to the byte. No I/O.
 
 A segment begins with a header of 32 bytes: the mark `courjrnl`, format version and 0 (two bytes each), the
-segment's number (eight), xxh32 of the relay's name (four), 0 (four), xxh32 of the 28 bytes before it. Records
-follow: the mark C0 DE, the kind (one byte), 0, the size of what follows (four), its xxh32 seeded with the
-kind (four); then the fields as a line of JSON, and a body where there is one. Numbers are little-endian.
+segment's number (eight), xxh32 of the relay's name (four), a random salt (four), xxh32 of the 28 bytes before
+it. Records follow: the mark C0 DE, the kind (one byte), 0, the size of what follows (four), its xxh32 seeded
+with the salt and the kind (four); then the fields as a line of JSON, and a body where there is one. Numbers
+are little-endian. The salt is known to nobody outside: no client's body can hold what a reader that looks for
+the next good record behind a damaged one would take for one.
 """
 import struct
 from typing import NamedTuple
@@ -15,6 +17,7 @@
 HEADER = struct.Struct("<8sHHQIII")
 HEAD = struct.Struct("<2scBII")
 MARK, RECORD = b"courjrnl", b"\xc0\xde"
+SALT_AT = 24            # where the salt stands in the header
 MOST = 1 << 24          # no record is larger
 TAKEN, CALL, BACK, OWED, OVER, MEMORY = b"T", b"C", b"B", b"N", b"O", b"M"
 PASSED = 64             # records passed over between two looks at the clock
@@ -35,8 +38,8 @@
     torn: bool = False
 
 
-def header(number, relay):
-    text = HEADER.pack(MARK, VERSION, 0, number, xxhash.xxh32_intdigest(relay.encode()), 0, 0)[:-4]
+def header(number, relay, salt):
+    text = HEADER.pack(MARK, VERSION, 0, number, xxhash.xxh32_intdigest(relay.encode()), salt, 0)[:-4]
     return text + struct.pack("<I", xxhash.xxh32_intdigest(text))
 
 
@@ -52,19 +55,33 @@
     return number
 
 
-class Record(bytes):
-    """A record's bytes, with what it says beside them."""
-    kind, told = b"", None
+class Record:
+    """A record that is to be written; its bytes depend on the segment it comes to stand in."""
+    __slots__ = ("kind", "told", "text")
 
+    def __init__(self, kind, told, body=b""):
+        self.kind, self.told, self.text = kind, told, b"".join((orjson.dumps(told), b"\n", body))
 
-def record(kind, told, body=b""):
-    text = b"".join((orjson.dumps(told), b"\n", body))
-    made = Record(HEAD.pack(RECORD, kind, 0, len(text), xxhash.xxh32_intdigest(text, seed=kind[0])) + text)
-    made.kind, made.told = kind, told
-    return made
+    def __len__(self):
+        return HEAD.size + len(self.text)
 
+    def sealed(self, salt):
+        text = self.text
+        return HEAD.pack(RECORD, self.kind, 0, len(text), check_of(text, self.kind, salt)) + text
 
-def whole(data, at):
+
+def check_of(text, kind, salt):
+    return xxhash.xxh32_intdigest(text, seed=salt ^ kind[0])
+
+
+record = Record
+
+
+def salt_of(data):
+    return HEADER.unpack_from(data)[5]
+
+
+def whole(data, at, salt):
     """The record that begins there, None where none does; IndexError where its end is missing."""
     if len(data) - at < HEAD.size:
         if data[at:at + 2] in (RECORD, RECORD[:1]) or at == len(data):
@@ -77,7 +94,7 @@
     if end > len(data):
         raise IndexError
     text = data[at + HEAD.size:end]
-    if xxhash.xxh32_intdigest(text, seed=kind[0]) != check:
+    if check_of(text, kind, salt) != check:
         return None
     line = text.find(b"\n")
     try:
@@ -88,16 +105,17 @@
 
 def scan(data, at=HEADER.size):
     """Every stretch of a segment in order: good records, and what lies between them that is none."""
+    salt = salt_of(data)
     while at < len(data):
         try:
-            found = whole(data, at)
+            found = whole(data, at, salt)
         except IndexError:
             found = None
-            if (then := resync(data, at + 1)) is None:      # nothing behind it: a write that was cut off
+            if (then := resync(data, at + 1, salt)) is None:    # nothing behind it: a write that was cut off
                 yield Found(at, len(data), None, torn=True)
                 return
         else:
-            then = None if found else resync(data, at + 1)
+            then = None if found else resync(data, at + 1, salt)
         if found is None:
             end = len(data) if then is None else then
             yield Found(at, end, None)
@@ -110,7 +128,7 @@
 def skim(data, wanted, at=HEADER.size):
     """Yields the records of one kind in a segment that should be whole; others are passed over unread, with
     a None now and then to look at the clock. ValueError where the segment turns out not to be whole."""
-    passed = 0
+    passed, salt = 0, salt_of(data)
     while at < len(data):
         if len(data) - at < HEAD.size:
             raise ValueError("a torn head")
@@ -118,7 +136,7 @@
         if mark != RECORD or nought or kind not in KINDS or at + HEAD.size + size > len(data):
             raise ValueError("no record's head")
         if kind == wanted:
-            one = whole(data, at)
+            one = whole(data, at, salt)
             if one is None:
                 raise ValueError("a damaged record")
             yield one
@@ -128,11 +146,11 @@
         at += HEAD.size + size
 
 
-def resync(data, at):
+def resync(data, at, salt):
     """Where the next good record begins, None where none does."""
     while (at := data.find(RECORD, at)) >= 0:
         try:
-            if whole(data, at):
+            if whole(data, at, salt):
                 return at
         except IndexError:
             pass
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -6,6 +6,7 @@
 names the segments that still hold the message, and is copied on while one of them stands. Called by the desk,
 which says what is live (`refresh`), and by `run.relay` (`step`).
 """
+import random
 import time
 from typing import NamedTuple
 
@@ -38,9 +39,14 @@
         self.bytes, self.holds, self.owed = {}, set(holds), owed
 
 
+def draw_salt():
+    return random.SystemRandom().getrandbits(32)
+
+
 class Journal:
-    def __init__(self, disk, most, relay="", syncs=False, clock=time.monotonic_ns):
+    def __init__(self, disk, most, relay="", syncs=False, clock=time.monotonic_ns, draw=draw_salt):
         self.disk, self.most, self.relay, self.syncs, self.clock = disk, most, relay, syncs, clock
+        self.draw, self.salt = draw, 0
         self.size_of_segment = plan.segment_size(most)
         self.segments = {}              # number -> [size, live bytes]
         self.entries, self.ended_in = {}, {}    # ended_in: segment -> [(segment of the end's record, bytes)]
@@ -49,6 +55,7 @@
         self.remembered = None          # a method: whether a message's end is still to be known
         self.work = None                # the compaction under way
         self.total, self.dead_seen = 0, 0       # bytes on the disk; the dead ones when none paid to compact
+        self.left = []                  # handles of closed segments that are not synced yet
         self.unsynced, self.losses, self.compacted, self.copied, self.written = False, [], 0, 0, 0
 
     # Reading.
@@ -76,7 +83,7 @@
                 if one.kind is not None:
                     self.place(one.kind, one.told, number, one.end - one.at)
                     yield one.kind, one.told, one.body
-                elif one.torn or last and one.end == len(data):
+                elif one.torn or last and one.end == len(data) and data[one.at:one.at + 2] != frames.RECORD:
                     self.disk.cut(name, one.at)
                     self.sized(number, one.at)
                 else:
@@ -95,8 +102,9 @@
         return int(digits) if digits.isdigit() else 0
 
     def is_torn_start(self, data, name):
-        """A crash just as the segment began left a part of its header."""
-        return frames.header(self.number(name), self.relay).startswith(data)
+        """A crash just as the segment began left a part of its header, all of it but for the salt known."""
+        begin = frames.header(self.number(name), self.relay, 0)[:len(data)]
+        return len(data) < frames.HEADER.size and data[:frames.SALT_AT] == begin[:frames.SALT_AT]
 
     def convert(self, names):
         """The log of an earlier version, turned over: while it stands, segments are a torn try to do so."""
@@ -106,7 +114,7 @@
         for kind, told, body in old.records(self.disk.read(old.NAME)):
             self.write(record(kind, told, body))
         if self.handle is not None:
-            self.disk.sync(self.handle)
+            self.sync()
             self.disk.close(self.handle)
             self.handle = None
         for name in (old.SPARE, old.NAME):
@@ -149,19 +157,21 @@
 
     def write(self, *parts):
         """Writes whole records, or raises Full with nothing of them left behind."""
-        data = parts[0] if len(parts) == 1 else b"".join(parts)
-        reserved = data[2:3] == TAKEN
-        if not plan.fits(self.total, len(data), self.most, reserved):
-            self.make_room(len(data), reserved)
-            if not plan.fits(self.total, len(data), self.most, reserved):
+        if not parts:
+            return
+        size, reserved = sum(map(len, parts)), parts[0].kind == TAKEN
+        if not plan.fits(self.total, size, self.most, reserved):
+            self.make_room(size, reserved)
+            if not plan.fits(self.total, size, self.most, reserved):
                 raise Full("the journal is full")
-        self.append(data)
+        self.append(parts)
         for part in parts:
             self.place(part.kind, part.told, self.newest, len(part))
 
-    def append(self, data):
+    def append(self, parts):
         if self.handle is None or self.segments[self.newest][0] >= self.size_of_segment:
             self.begin()
+        data = b"".join([part.sealed(self.salt) for part in parts])
         segment, size = self.segments[self.newest], len(data)
         start = segment[0]
         try:
@@ -188,20 +198,19 @@
             self.leave()
 
     def leave(self):
+        """Closes the newest segment; where syncs are asked for its handle stays until that was done."""
         if self.handle is not None:
-            try:
-                if self.syncs and self.unsynced:
-                    self.disk.sync(self.handle)
+            if self.syncs and self.unsynced:
+                self.left.append(self.handle)
+            else:
                 self.disk.close(self.handle)
-            except OSError:
-                pass
             self.handle = None
 
     def begin(self):
         """A new segment; its number is one that no file has or had."""
         self.leave()
-        number = self.newest + 1
-        head = frames.header(number, self.relay)
+        number, salt = self.newest + 1, self.draw()
+        head = frames.header(number, self.relay, salt)
         try:
             self.handle = self.disk.create(self.name(number))
             self.put(head)
@@ -214,10 +223,9 @@
                 except OSError:
                     pass
             raise Full(str(cause)) from None
-        self.newest = number
+        self.newest, self.salt = number, salt
         self.sized(number, len(head))
-        if self.syncs:
-            self.disk.sync_folder()
+        self.unsynced = True
 
     # What is live: bytes by segment.
 
@@ -307,7 +315,7 @@
                     moved.add(one.told[0])
                     self.copy(parts)
             yield
-        if self.syncs:
+        if self.syncs:      # before what was copied goes, whatever a sync beside the loop has done so far
             self.sync()
         self.disk.remove(name)
         self.removed(number)
@@ -325,11 +333,11 @@
 
     def copy(self, parts):
         """A message's live records at their new place, all or none; its older ones count no more."""
-        data = b"".join(parts)
-        if not plan.fits(self.total, len(data), self.most, False):
+        size = sum(map(len, parts))
+        if not plan.fits(self.total, size, self.most, False):
             raise Full("no room to compact")
-        self.append(data)
-        self.copied += len(data)
+        self.append(parts)
+        self.copied += size
         name = parts[0].told[0]
         if parts[0].kind != OVER:
             self.forget(name)
@@ -358,19 +366,33 @@
             if seg in self.segments:
                 self.segments[seg][1] -= size
 
+    # Syncs: what was left unsynced stays open, and in `left`, until a sync of it came back.
+
     def sync(self):
-        if self.handle is not None and self.unsynced:
-            self.disk.sync(self.handle)
+        """All that is written is safe; OSError where it is not."""
+        handles = [*self.left, self.handle] if self.handle is not None else self.left[:]
+        for handle in handles:
+            self.disk.sync(handle)
+        self.disk.sync_folder()
         self.unsynced = False
-
-    def handle_to_sync(self):
-        """A handle for one sync beside the event loop, to be closed behind it; None where all is synced."""
-        if self.handle is None or not self.unsynced:
-            return None
+        self.release(self.left[:])
+
+    def release(self, handles):
+        for handle in handles:
+            if handle in self.left:
+                self.left.remove(handle)
+                self.disk.close(handle)
+
+    def to_sync(self):
+        """(handles to be synced beside the event loop and closed there, those of `left` among what they stand
+        for)."""
+        left = self.left[:]
+        now = left if self.handle is None or not self.unsynced else [*left, self.handle]
         self.unsynced = False
-        return self.disk.duplicate(self.handle)
+        return [self.disk.duplicate(handle) for handle in now], left
 
     def close(self):
         self.leave()
+        self.release(self.left[:])
 
 
--- a/courseroute/journal/syncer.py
+++ b/courseroute/journal/syncer.py
@@ -29,10 +29,11 @@
     async def sync(self):
         """One sync for all that is written by now; one that fails is told and tried again."""
         journal, target = self.journal, self.journal.written
-        handle = journal.handle_to_sync()
+        handles, left = journal.to_sync()
         try:
-            if handle is not None:
-                await trio.to_thread.run_sync(journal.disk.sync, handle)
+            if handles:
+                await trio.to_thread.run_sync(self.sync_all, handles)
+            journal.release(left)
             self.safe, self.failing = max(self.safe, target), False
             news, self.news = self.news, trio.Event()
             news.set()
@@ -44,5 +45,10 @@
             self.asked.set()
             await trio.sleep(self.every)
         finally:
-            if handle is not None:
+            for handle in handles:
                 journal.disk.close(handle)
+
+    def sync_all(self, handles):
+        for handle in handles:
+            self.journal.disk.sync(handle)
+        self.journal.disk.sync_folder()
--- a/courseroute/journal/tools.py
+++ b/courseroute/journal/tools.py
@@ -9,7 +9,8 @@
 
 from courseroute.journal import frames, old
 from courseroute.journal.disk import Disk
-from courseroute.journal.lock import Held, lock
+from courseroute.journal.lock import lock
+from courseroute.journal.replay import Replay
 from courseroute.journal.store import PREFIX, Journal
 
 NAMES = {frames.TAKEN: "taken", frames.CALL: "call", frames.BACK: "back", frames.OWED: "owed",
@@ -18,7 +19,6 @@
     "taken": ("name", "dst", "lane", "deadline", "mark", "key", "customer", "again", "taken_at"),
     "call": ("name", "leg", "host", "at", "ending"), "back": ("name", "leg", "ending"),
     "owed": ("name", "state", "after"), "over": ("name", "state")}
-__all__ = ["Held"]
 
 
 def segments(folder):
@@ -58,25 +58,33 @@
 
 def state(folder):
     """What is left of the records: held messages with their legs, notices owed, recent ends, what is bad."""
-    held, owed, ends, bad = {}, {}, {}, []
-    for row in rows(folder):
-        kind, name = row["kind"], row.get("name")
-        if kind == "taken" and name not in ends and name not in held:
-            held[name] = {part: row[part] for part in ("lane", "dst", "deadline", "customer", "body")}
-            held[name]["legs"] = []
-        elif kind == "call" and name in held and len(held[name]["legs"]) == row["leg"]:
-            held[name]["legs"].append({part: row[part] for part in ("host", "at", "ending")})
-        elif kind == "back" and name in held and row["leg"] < len(held[name]["legs"]):
-            held[name]["legs"][row["leg"]]["ending"] = row["ending"]
-        elif kind in ("owed", "over"):
-            held.pop(name, None)
-            owed.pop(name, None)
-            ends[name] = row["state"]
-            if kind == "owed":
-                owed[name] = row["state"]
-        elif kind in ("torn", "damaged", "foreign"):
-            bad.append({part: row[part] for part in ("segment", "kind", "at", "bytes")})
-    return {"held": held, "owed": owed, "ends": ends, "bad": bad}
+    bad = [{part: row[part] for part in ("segment", "kind", "at", "bytes")} for row in rows(folder)
+           if row["kind"] in ("torn", "damaged", "foreign")]
+    now, held = replayed(folder), {}
+    for name, kept in now.held.items():
+        told = row_of(frames.TAKEN, kept.told, len(kept.body))
+        held[name] = {part: told[part] for part in ("lane", "dst", "deadline", "customer", "body")}
+        held[name]["legs"] = [dict(zip(("host", "at", "ending"), leg, strict=True)) for leg in kept.legs]
+    return {"held": held, "owed": {name: state for name, (state, _) in now.owed.items()},
+            "ends": dict(now.ends), "bad": bad}
+
+
+def replayed(folder):
+    """What a relay would make of the folder."""
+    replay, disk = Replay(), Disk(folder)
+    if old.NAME in disk.names():
+        for kind, told, body in old.records(disk.read(old.NAME)):
+            replay.feed(kind, told, body)
+    for _, number, data in segments(folder):
+        if number is None:
+            replay.damage()
+            continue
+        for one in frames.scan(data):
+            if one.kind is not None:
+                replay.feed(one.kind, one.told, one.body)
+            elif not one.torn:
+                replay.damage()
+    return replay.finish()
 
 
 def verify(folder):
@@ -112,8 +120,9 @@
             pass
         gone = [name for name, _, _ in segments(folder)]
         for parts in live:
-            journal.append(b"".join(parts))
-        journal.leave()
+            journal.append(parts)
+        journal.sync()
+        journal.close()
         for name in gone:
             journal.disk.remove(name)
         return before, size(folder)
@@ -131,43 +140,22 @@
     bad = verify(folder)
     journal = Journal(Disk(target), 1 << 40, syncs=True)
     for parts in live_records(folder):
-        journal.append(b"".join(parts))
-    journal.leave()
+        journal.append(parts)
+    journal.sync()
+    journal.close()
     return bad
 
 
 def live_records(folder):
     """The records of each message that is held or owed, and of recent ends, in order of taking on."""
-    bodies, doubtful, legs, held, ends, owed = {}, set(), {}, {}, {}, {}
-    disk = Disk(folder)
-    found = [(kind, told, body) for kind, told, body in old.records(disk.read(old.NAME))] \
-        if old.NAME in disk.names() else []
-    for _, number, data in segments(folder):
-        for one in frames.scan(data) if number is not None else [frames.Found(0, 0, None)]:
-            found.append((one.kind, one.told, one.body) if one.kind or not one.torn else ("torn", None, b""))
-    for kind, told, body in found:
-        if kind is None:
-            doubtful.update(held)
-        elif kind == frames.TAKEN and told[0] not in ends and told[0] not in held:
-            held[told[0]], bodies[told[0]], legs[told[0]] = told, body, []
-        elif kind == frames.CALL and told[0] in held and len(legs[told[0]]) == told[1]:
-            legs[told[0]].append(list(told[2:]))
-        elif kind == frames.BACK and told[0] in held and told[1] < len(legs[told[0]]):
-            legs[told[0]][told[1]][2] = told[2]
-        elif kind in (frames.OWED, frames.OVER):
-            held.pop(told[0], None)
-            ends[told[0]] = told[1]
-            owed.pop(told[0], None)
-            if kind == frames.OWED:
-                owed[told[0]] = told
-    for name, told in held.items():
-        extra = [["", 0, None]] if name in doubtful else []
-        yield [frames.record(frames.TAKEN, told, bodies[name]), *(
-            frames.record(frames.CALL, [name, n, *leg]) for n, leg in enumerate([*legs[name], *extra]))]
-    for told in owed.values():
-        yield [frames.record(frames.OWED, told)]
-    for name, end in ends.items():
-        if name not in owed:
+    now = replayed(folder)
+    for name, kept in now.held.items():
+        yield [frames.record(frames.TAKEN, kept.told, kept.body), *(
+            frames.record(frames.CALL, [name, n, *leg]) for n, leg in enumerate(kept.legs))]
+    for name, told in now.owed.items():
+        yield [frames.record(frames.OWED, [name, *told])]
+    for name, end in now.ends.items():
+        if name not in now.owed:
             yield [frames.record(frames.OVER, [name, end])]
 
 
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -45,7 +45,8 @@
 
 def desk_on(disk, most=MOST, syncs=False):
     ticks = itertools.count(0, TICK)        # no real time: the same script makes the same calls
-    journal = Journal(disk, most, "n0", syncs, lambda: next(ticks))
+    salts = itertools.count(7)
+    journal = Journal(disk, most, "n0", syncs, lambda: next(ticks), lambda: next(salts))
     said = []
     desk = Desk(Still(), {"lanes": {"a": {}}, "legs": 2}, HOUSE | {"ends": 4}, journal, 1 << 30,
                 lambda: next(ticks),
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -7,7 +7,6 @@
 """
 import os
 import select
-import sys
 import time
 
 import orjson
@@ -24,11 +23,12 @@
 class Logbook:
     def __init__(self):
         self.least, self.context, self.dropped, self.render = LEVELS["info"], {}, 0, render_json
+        self.structured = False     # structlog renders, in either form
 
     def set(self, level="info", form="json", **context):
         self.least = LEVELS[level]
         self.context |= context
-        if form == "console" or "structlog" in sys.modules:
+        if form == "console" or self.structured:
             from courseroute.run.console import renderer
             self.render = renderer(form)
         else:
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -8,6 +8,7 @@
 
 from courseroute.journal import frames as records
 from courseroute.journal.frames import record
+from courseroute.journal.replay import Replay
 from courseroute.journal.store import DAMAGE, Full
 from courseroute.wire import words
 
@@ -152,7 +153,8 @@
             parts = self.live_records(name) if kind == records.OWED else [
                 self.log.over(name, self.ends.get(name, "over"))]
             try:
-                self.log.write(*parts)
+                if parts:
+                    self.log.write(*parts)
                 del self.unwritten[name]
             except Full:
                 return
@@ -295,31 +297,21 @@
 
     def recover(self):
         """Reads the log back: what is owed its end is told to the module, which decides on each."""
-        doubtful = set()        # messages whose calls, or end, may stand in bytes that can't be read
+        replay = Replay(self.house["ends"])
         for kind, told, body in self.log.read():
             if kind == DAMAGE:
                 self.say("journal damaged", segment=told.segment, at=told.at, bytes=told.size)
-                doubtful.update(self.held)
-                continue
-            if kind == records.MEMORY:      # of an earlier version, which kept it here
-                continue
-            name, msg = told[0], self.held.get(told[0])
-            if kind == records.TAKEN and msg is None and name not in self.ends:
-                msg = self.held[name] = Held(name, *told[1:4], body, *told[4:])
-                msg.promised = True
-                self.count(self.measure(msg))
-            elif kind == records.CALL and msg is not None and len(msg.legs) == told[1]:
-                msg.legs.append(list(told[2:]))
-            elif kind == records.BACK and msg is not None and told[1] < len(msg.legs):
-                msg.legs[told[1]][2] = told[2]
-            elif kind == records.OWED:
-                self.owed[name] = tuple(told[1:3])
-            if kind in (records.OWED, records.OVER):
-                if msg is not None:
-                    self.forget(msg, told[1])
-                self.remember(name, told[1])
-            if kind == records.OVER:
-                self.owed.pop(name, None)
+                replay.damage()
+            else:
+                replay.feed(kind, told, body)
+        replay.finish()
+        self.owed = replay.owed
+        for name, state in replay.ends.items():
+            self.remember(name, state)
+        for name, kept in replay.held.items():
+            msg = self.held[name] = Held(name, *kept.told[1:4], kept.body, *kept.told[4:])
+            msg.promised, msg.legs = True, kept.legs
+            self.count(self.measure(msg))
         self.count(sum(NOTICE + len(name) for name in self.owed))
         for name, (state, after) in self.owed.items():
             self.notices.owe(name, state, after)
@@ -327,8 +319,6 @@
             told, at = self.learned.read()
             if told:
                 self.tell("recall", told, at)
-        for name in sorted(doubtful & self.held.keys()):
-            self.held[name].legs.append(["", 0, None])      # it may have run, nobody knows when
         for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
             self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
                       [tuple(leg) for leg in msg.legs])
--- a/courseroute/town/relays.py
+++ b/courseroute/town/relays.py
@@ -131,7 +131,8 @@
         relay.cpu, relay.life_cpu = relay.cpu + relay.life_cpu, 0.0
         await trio.sleep(BACK_AFTER)
         self.start(relay)
-        await self.ready(relay)
+        if not await self.ready(relay) and relay.wanted:
+            self.tell("relay", self.clock(), relay=relay.name, now="crashed", text="not ready within 30 s")
 
     # What a day does to them.
 
@@ -154,7 +155,6 @@
         if not relay.wanted:
             return
         await self.stop(relay)
-        self.front(relay.number, False)
         await self.again(relay)
 
     async def stop(self, relay):
@@ -184,15 +184,14 @@
         self.tell("relay", self.clock(), relay=relay.name, now="goes-on")
 
     async def fill_disk(self, relay, ns):
-        """Its files can grow no further: a write beyond what they hold fails."""
+        """None of its files can grow by a byte, old ones and new ones: every write fails."""
         if not relay.wanted:
             return
-        pid = relay.process.pid
-        largest = max((file.stat().st_size for file in relay.state.iterdir()), default=0)
+        pid, free = relay.process.pid, resource.RLIM_INFINITY
         with contextlib.suppress(ProcessLookupError):
-            _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE, (largest, resource.RLIM_INFINITY))
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, free))
             await trio.sleep(ns / 1e9)
-            resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (free, free))
 
     def reread(self, relay):
         if relay.wanted:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -22,7 +22,8 @@
 
 K = 1000
 TEN = [record(TAKEN, [f"m{i}", "7"], b"\n{body}\xc0\xde" * (i + 1)) for i in range(10)]
-SEGMENT = frames.header(1, "n0") + b"".join(TEN)
+SALT = 77
+SEGMENT = frames.header(1, "n0", SALT) + b"".join(one.sealed(SALT) for one in TEN)
 
 
 def told(data):
@@ -58,7 +59,7 @@
 
 @given(st.integers(frames.HEADER.size, len(SEGMENT) - 1), st.booleans())
 def test_skimming_finds_one_kind_or_sees_that_the_segment_is_not_whole(at, cut):
-    ends = b"".join(record(OVER, [f"e{i}", "over"]) for i in range(3))
+    ends = b"".join(record(OVER, [f"e{i}", "over"]).sealed(SALT) for i in range(3))
     whole = SEGMENT + ends
     assert [one.told[0] for one in frames.skim(whole, OVER) if one] == ["e0", "e1", "e2"]
     heads = {one.at + i for one in frames.scan(SEGMENT) for i in range(4)}
@@ -71,14 +72,14 @@
 
 @given(st.binary(max_size=300))
 def test_noise_is_no_record(noise):
-    assert not any(kind for kind, _ in told(b"x" * frames.HEADER.size + noise))
+    assert not any(kind for kind, _ in told(frames.header(1, "n0", SALT) + noise))
 
 
 @pytest.mark.parametrize("change, number", [
     (lambda head: head, 1), (lambda head: head[:20], None), (lambda head: b"x" + head[1:], None),
     (lambda head: head[:12] + b"\7" + head[13:], None)])
 def test_a_header_is_known_or_not(change, number):
-    assert frames.header_of(change(frames.header(1, "n0"))) == number
+    assert frames.header_of(change(frames.header(1, "n0", SALT))) == number
 
 
 # The plan.
@@ -223,8 +224,41 @@
     assert [(loss.segment, loss.size > 20) for loss in again.log.losses] == [(0, False), (1, True)]
 
 
+def test_no_body_can_hold_what_is_taken_for_a_record_behind_a_damaged_one():
+    """A client that knows the format writes an end of another's message into its own."""
+    disk = FaultyDisk()
+    desk = torture.desk_on(disk)
+    forged = b"".join(record(OVER, ["b", "over"]).sealed(salt) for salt in (0, 1, SALT))
+    told = {"name": "a", "dst": "7", "lane": "a", "left": 10 ** 10, "mark": "", "customer": "", "key": "",
+            "again": False}
+    assert desk.take(told | {"name": "b", "body": b"x"}, False)[0] == 202
+    assert desk.take(told | {"body": forged}, False)[0] == 202
+    data = disk.files["seg-0000000001"]
+    data[data.index(b'["a"') + 2] ^= 1
+    again = torture.desk_on(disk.after())
+    assert list(again.held) == ["b"] and not again.ends and len(again.log.losses) == 1
+
+
+def test_a_segment_that_is_left_unsynced_is_synced_before_anyone_is_answered():
+    disk = FaultyDisk()
+    journal = Journal(disk, 100 * K, "n0", True)
+    list(journal.read())
+    journal.write(TEN[0])
+    journal.begin()
+    journal.write(TEN[1])
+    journal.begin()             # with nothing in it
+    handles, left = journal.to_sync()
+    assert len(handles) == 3 and len(left) == 2 and not disk.synced
+    disk.fails = {disk.calls + 1: errno.EIO}
+    with pytest.raises(OSError):
+        journal.sync()
+    assert journal.left == left         # kept, to be tried again
+    journal.sync()
+    assert not journal.left and {name: bytes(data) for name, data in disk.files.items()} == disk.synced
+
+
 def test_a_newer_version_is_refused_and_left_as_it_is(tmp_path):
-    head = bytearray(frames.header(1, "n0"))
+    head = bytearray(frames.header(1, "n0", SALT))
     head[8] = 9
     head[-4:] = frames.xxhash.xxh32_intdigest(bytes(head[:-4])).to_bytes(4, "little")
     (tmp_path / "seg-0000000001").write_bytes(head)
