An end is told to the platform once it is written, or its message can be sent no more

Cause: Desk.end told the notice though its record had not been written; the relay was killed, and its next life held the message and sent it.

Only a disk that refuses writes delays an answer so.

--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -46,6 +46,7 @@
         self.syncer = None
         self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
+        self.withheld = {}                  # ends not told yet, as they are not written: name -> deadline
         self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
         log.refresh, log.remembered = self.live_records, self.ends.__contains__
@@ -143,19 +144,24 @@
         """A record that the next life goes by; one that can't be written is told, an end is tried again."""
         try:
             self.log.write(*parts)
+            return True
         except Full as cause:
             self.unwritten.update((part.told[0], part.kind) for part in parts if part.kind != records.BACK)
             self.fault(cause)
+            return False
 
     def write_late(self):
         """Ends that could not be written when they came: without them a next life would send once more."""
+        for name, deadline in list(self.withheld.items()):
+            if self.clock() >= deadline:        # a next life would send it no more
+                self.tell_platform(name)
         for name, kind in list(self.unwritten.items()):
             parts = self.live_records(name) if kind == records.OWED else [
                 self.log.over(name, self.ends.get(name, "over"))]
             try:
-                if parts:
-                    self.log.write(*parts)
+                self.log.write(*parts)
                 del self.unwritten[name]
+                self.tell_platform(name)
             except Full:
                 return
 
@@ -246,8 +252,14 @@
         self.owed[name] = state, after
         self.count(NOTICE + len(name))
         self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
-        self.note(record(records.OWED, [name, state, after]))
-        self.notices.owe(name, state, after)
+        self.withheld[name] = msg.deadline
+        if self.note(record(records.OWED, [name, state, after])):
+            self.tell_platform(name)
+
+    def tell_platform(self, name):
+        """Once its end is written: a life that knows nothing of it would send a message that is over."""
+        if self.withheld.pop(name, None) is not None:
+            self.notices.owe(name, *self.owed[name])
 
     def told_of(self, names):
         """Notices that the platform has."""
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -7,6 +7,8 @@
 
 from courseroute.decide import HOUSE
 from courseroute.journal.disk import Disk
+from courseroute.journal.faulty import FaultyDisk
+from courseroute.journal.frames import OWED
 from courseroute.journal.store import Journal
 from courseroute.state.desk import END, Desk
 from courseroute.state.pool import Pool
@@ -134,6 +136,31 @@
     assert sum(live for _, live in again.log.segments.values()) <= again.bytes
 
 
+def test_an_end_is_told_once_it_is_written_or_its_message_can_be_sent_no_more():
+    """On a full disk a relay told an end, was killed, and its next life sent the message (town, kills.toml)."""
+    disk, now = FaultyDisk(), [5 * MS]
+    journal, say = Journal(disk, 1_000_000), (lambda event, **told: None)
+    desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10 ** 8, lambda: now[0], say)
+    desk.notices, desk.ready = Notices(desk, HOUSE, None, None), True
+    desk.recover()
+    for name in "ab":
+        left = S * (1 + (name == "b"))
+        assert desk.take(TOLD | {"name": name, "left": left}, False) == (202, 0)
+    disk.room = disk.used()
+    desk.end("a", "returned", 0)
+    desk.end("b", "failed", 0)
+    desk.write_late()
+    assert not desk.notices.lines
+    now[0] += S
+    desk.write_late()
+    assert list(desk.notices.lines) == ["a"]
+    disk.room = None
+    desk.write_late()
+    assert list(desk.notices.lines) == ["a", "b"] and not desk.withheld and not desk.unwritten
+    again = Journal(disk.after(), 1_000_000)
+    assert [told[0] for kind, told, _ in again.read() if kind == OWED] == ["a", "b"]
+
+
 @pytest.mark.parametrize("last_byte", [True, False])
 def test_a_connection_given_up_with_its_request_just_read_is_answered(last_byte):
     """A task that has read yields before it goes on: others may then find its connection silent."""
