--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -153,7 +153,7 @@
     def write_late(self):
         """Ends that could not be written when they came: without them a next life would send once more."""
         for name, deadline in list(self.withheld.items()):
-            if self.clock() >= deadline:        # a next life would send it no more
+            if self.clock() >= deadline - self.house["sweep"]:      # a next life would send it no more
                 self.tell_platform(name)
         for name, kind in list(self.unwritten.items()):
             parts = self.live_records(name) if kind == records.OWED else [
