--- a/courseroute/journal/frames.py
+++ b/courseroute/journal/frames.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 import orjson
-import xxhash
+from xxhash import xxh32_intdigest
 
 VERSION = 1
 HEADER = struct.Struct("<8sHHQIII")
@@ -39,8 +39,8 @@
 
 
 def header(number, relay, salt):
-    text = HEADER.pack(MARK, VERSION, 0, number, xxhash.xxh32_intdigest(relay.encode()), salt, 0)[:-4]
-    return text + struct.pack("<I", xxhash.xxh32_intdigest(text))
+    text = HEADER.pack(MARK, VERSION, 0, number, xxh32_intdigest(relay.encode()), salt, 0)[:-4]
+    return text + struct.pack("<I", xxh32_intdigest(text))
 
 
 def header_of(data, name=""):
@@ -48,7 +48,7 @@
     if len(data) < HEADER.size or data[:8] != MARK:
         return None
     _, version, _, number, _, _, check = HEADER.unpack_from(data)
-    if xxhash.xxh32_intdigest(data[:HEADER.size - 4]) != check:
+    if xxh32_intdigest(data[:HEADER.size - 4]) != check:
         return None
     if version > VERSION:
         raise Newer(f"{name}: format {version}; this program reads up to {VERSION}")
@@ -57,21 +57,22 @@
 
 class Record:
     """A record that is to be written; its bytes depend on the segment it comes to stand in."""
-    __slots__ = ("kind", "told", "text")
+    __slots__ = ("kind", "told", "text", "size")
 
     def __init__(self, kind, told, body=b""):
-        self.kind, self.told, self.text = kind, told, b"".join((orjson.dumps(told), b"\n", body))
+        self.kind, self.told, self.text = kind, told, b"%b\n%b" % (orjson.dumps(told), body)
+        self.size = HEAD.size + len(self.text)
 
     def __len__(self):
-        return HEAD.size + len(self.text)
+        return self.size
 
     def sealed(self, salt):
-        text = self.text
-        return HEAD.pack(RECORD, self.kind, 0, len(text), check_of(text, self.kind, salt)) + text
+        kind, text = self.kind, self.text
+        return HEAD.pack(RECORD, kind, 0, len(text), xxh32_intdigest(text, salt ^ kind[0])) + text
 
 
 def check_of(text, kind, salt):
-    return xxhash.xxh32_intdigest(text, seed=salt ^ kind[0])
+    return xxh32_intdigest(text, salt ^ kind[0])
 
 
 record = Record
--- a/courseroute/journal/plan.py
+++ b/courseroute/journal/plan.py
@@ -27,23 +27,20 @@
     return min(max(RESERVE * segment_size(most), LEAST_RESERVE), most // 6)
 
 
-def on_disk(size):
-    return -(-size // SECTORS) * SECTORS
-
-
 def used(segments):
-    return sum(on_disk(segment.size) for segment in segments)
+    """Bytes on the disk at the most: a file counts in whole sectors."""
+    return sum(segment.size + SECTORS for segment in segments)
 
 
 def fits(total, size, most, reserved):
     """Whether so many bytes more may be written beside the `total`; `reserved`: by one who may not use the
     reserve."""
-    return total + size + 2 * SECTORS <= most - (reserve(most) if reserved else 0)
+    return total + size + SECTORS <= most - (reserve(most) if reserved else 0)
 
 
-def pays(total, live, most):
+def pays(total, most):
     """Whether a look for a victim may find one: cheap, asked often."""
-    return total > most // 2 and total > live or most - total < START * segment_size(most)
+    return total > most // 2 or most - total < START * segment_size(most)
 
 
 def may_take(live, size, most):
@@ -62,6 +59,6 @@
     best = max(closed, key=lambda one: ((one.size - one.live) / (one.live + 1), -one.number), default=None)
     if best is None or best.live >= best.size:
         return None
-    if not short and best.live > best.size * (1 - WASTE) or on_disk(best.live) + SECTORS > free:
+    if not short and best.live > best.size * (1 - WASTE) or best.live + 2 * SECTORS > free:
         return None
     return best.number
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -15,6 +15,7 @@
 
 PREFIX = "seg-"
 AT_ONCE = 16            # slices of compaction at once, where a record would not fit without them
+LOOKED_AT = 256         # messages looked at between two looks at the clock
 LEGS = (CALL, BACK)
 DAMAGE = b"?"           # a stretch that could not be read, as a record of its own kind
 
@@ -31,12 +32,25 @@
 
 
 class Entry:
-    """A live message: bytes that count by segment; the segments that hold it, copies that count no more too;
-    whether its end is owed."""
-    __slots__ = ("bytes", "holds", "owed")
+    """A live message: its bytes in the segment it began in, and in others; the segments that hold its
+    taking-on or its end, copies that count no more among them; whether its end is owed."""
+    __slots__ = ("number", "size", "others", "holds", "owed")
 
-    def __init__(self, holds=(), owed=False):
-        self.bytes, self.holds, self.owed = {}, set(holds), owed
+    def __init__(self, number, holds=(), owed=False):
+        self.number, self.size, self.others, self.owed = number, 0, None, owed
+        self.holds = (*holds, number) if number not in holds else holds
+
+    def add(self, number, size):
+        if number == self.number:
+            self.size += size
+        elif self.others is None:
+            self.others = {number: size}
+        else:
+            self.others[number] = self.others.get(number, 0) + size
+
+    def inside(self, number):
+        """Its bytes in that segment."""
+        return self.size if number == self.number else (self.others or {}).get(number, 0)
 
 
 def draw_salt():
@@ -48,6 +62,7 @@
         self.disk, self.most, self.relay, self.syncs, self.clock = disk, most, relay, syncs, clock
         self.draw, self.salt = draw, 0
         self.size_of_segment = plan.segment_size(most)
+        self.roomy = most - plan.reserve(most) - plan.SECTORS   # below that everything fits
         self.segments = {}              # number -> [size, live bytes]
         self.entries, self.ended_in = {}, {}    # ended_in: segment -> [(segment of the end's record, bytes)]
         self.handle, self.newest, self.live = None, 0, 0
@@ -148,10 +163,10 @@
     def sized(self, number, size):
         """A segment has so many bytes now; None: it is gone."""
         if number in self.segments:
-            self.total -= plan.on_disk(self.segments[number][0])
+            self.total -= self.segments[number][0] + plan.SECTORS
         if size is not None:
             self.segments.setdefault(number, [0, 0])[0] = size
-            self.total += plan.on_disk(size)
+            self.total += size + plan.SECTORS
 
     # Writing.
 
@@ -159,19 +174,20 @@
         """Writes whole records, or raises Full with nothing of them left behind."""
         if not parts:
             return
-        size, reserved = sum(map(len, parts)), parts[0].kind == TAKEN
-        if not plan.fits(self.total, size, self.most, reserved):
+        size, reserved = sum([part.size for part in parts]), parts[0].kind == TAKEN
+        if self.total + size > self.roomy and not plan.fits(self.total, size, self.most, reserved):
             self.make_room(size, reserved)
             if not plan.fits(self.total, size, self.most, reserved):
                 raise Full("the journal is full")
         self.append(parts)
         for part in parts:
-            self.place(part.kind, part.told, self.newest, len(part))
+            self.place(part.kind, part.told, self.newest, part.size)
 
     def append(self, parts):
         if self.handle is None or self.segments[self.newest][0] >= self.size_of_segment:
             self.begin()
-        data = b"".join([part.sealed(self.salt) for part in parts])
+        data = parts[0].sealed(self.salt) if len(parts) == 1 else b"".join(
+            [part.sealed(self.salt) for part in parts])
         segment, size = self.segments[self.newest], len(data)
         start = segment[0]
         try:
@@ -180,7 +196,7 @@
             self.take_back(start)
             raise Full(str(cause)) from None
         segment[0] = start + size
-        self.total += plan.on_disk(start + size) - plan.on_disk(start)
+        self.total += size
         self.written += size
         self.unsynced = True
 
@@ -235,31 +251,37 @@
             return
         name = told[0]
         entry = self.entries.get(name)
-        if entry is not None and kind in LEGS:
-            entry.bytes[number] = entry.bytes.get(number, 0) + size
-            self.segments[number][1] += size
-            return
-        if kind == TAKEN and entry is None:
-            entry = self.entries[name] = Entry()
-        if kind == OWED and (entry is None or not entry.owed):
-            self.forget(name)
-            entry = self.entries[name] = Entry(entry.holds if entry else (), True)
-        if kind in (TAKEN, OWED):
-            entry.holds.add(number)
         if kind == OVER:
-            self.forget(name)
-            self.entries.pop(name, None)
-            standing = [seg for seg in told[2:] if seg in self.segments and seg != number]
+            if entry is not None:
+                self.forget(entry)
+                del self.entries[name]
+            standing = [seg for seg in told[2:] if seg != number and seg in self.segments]
             if standing:
                 self.segments[number][1] += size
                 self.ended_in.setdefault(max(standing), []).append((number, size))
-        elif entry is not None:
-            entry.bytes[number] = entry.bytes.get(number, 0) + size
-            self.segments[number][1] += size
-
-    def forget(self, name):
-        entry = self.entries.get(name)
-        for number, size in entry.bytes.items() if entry else ():
+            return
+        if kind == OWED and (entry is None or not entry.owed):
+            self.begin_anew(name, entry, number, True)
+            entry = self.entries[name]
+        elif entry is None:
+            if kind != TAKEN:
+                return
+            entry = self.entries[name] = Entry(number)
+        elif kind not in LEGS and number not in entry.holds:
+            entry.holds = (*entry.holds, number)
+        entry.add(number, size)
+        self.segments[number][1] += size
+
+    def begin_anew(self, name, entry, number, owed):
+        """What a message had before counts no more, but the segments still hold it."""
+        if entry is not None:
+            self.forget(entry)
+        self.entries[name] = Entry(number, entry.holds if entry else (), owed)
+
+    def forget(self, entry):
+        if entry.number in self.segments:
+            self.segments[entry.number][1] -= entry.size
+        for number, size in (entry.others or {}).items():
             if number in self.segments:
                 self.segments[number][1] -= size
 
@@ -269,7 +291,7 @@
         return record(OVER, [name, state, *self.standing(entry)])
 
     def standing(self, entry):
-        return sorted(seg for seg in entry.holds if seg in self.segments) if entry else []
+        return [seg for seg in entry.holds if seg in self.segments] if entry else []
 
     # Compaction.
 
@@ -277,10 +299,10 @@
         """Whether a slice of compaction would pay; looked at closely only where enough has died since."""
         if self.work is not None:
             return True
-        live = sum(live for _, live in self.segments.values())
-        dead = self.total - live
-        seen = abs(dead - self.dead_seen) < self.size_of_segment // 8
-        if seen or not plan.pays(self.total, live, self.most):
+        if not plan.pays(self.total, self.most):
+            return False
+        dead = self.total - sum([live for _, live in self.segments.values()])
+        if abs(dead - self.dead_seen) < self.size_of_segment // 8:
             return False
         if plan.victim(self.table(), self.most) is not None:
             return True
@@ -306,58 +328,48 @@
         return True
 
     def compact(self, number):
-        """Copies what is live of one segment to the newest, then removes it; a stop a record."""
-        name = self.name(number)
-        moved = set()
-        for one in self.stretches(self.disk.read(name), number):
-            if one is not None and one.kind is not None and one.kind != MEMORY and one.told[0] not in moved:
-                if parts := self.still(one, number):
-                    moved.add(one.told[0])
+        """Writes what is live of one segment to the newest, from memory, then the ends that still matter, and
+        removes it; a stop now and then. No record of a message is read for it: most are dead."""
+        for i, name in enumerate(list(self.entries)):
+            entry = self.entries.get(name)
+            if entry is not None and entry.inside(number):
+                if parts := self.refresh(name):
                     self.copy(parts)
+                yield
+            elif i % LOOKED_AT == 0:
+                yield
+        for one in self.ends(self.disk.read(self.name(number))):
+            if one is not None and one.told[0] not in self.entries:
+                standing = [seg for seg in one.told[2:] if seg in self.segments and seg != number]
+                if standing or self.remembered(one.told[0]):
+                    self.copy([record(OVER, [*one.told[:2], *standing])])
             yield
         if self.syncs:      # before what was copied goes, whatever a sync beside the loop has done so far
             self.sync()
-        self.disk.remove(name)
+        self.disk.remove(self.name(number))
         self.removed(number)
         self.compacted += 1
 
-    def stretches(self, data, number):
-        """All of a segment, or where nothing of it is live its ends: only they may matter still."""
-        if not self.segments[number][1]:
-            try:
-                yield from frames.skim(data, OVER)
-                return
-            except ValueError:
-                pass
-        yield from frames.scan(data)
+    def ends(self, data):
+        """The records of ends in a segment, None now and then; of a damaged one those that can be read."""
+        try:
+            yield from frames.skim(data, OVER)
+        except ValueError:
+            yield from (one for one in frames.scan(data) if one.kind == OVER)
 
     def copy(self, parts):
         """A message's live records at their new place, all or none; its older ones count no more."""
-        size = sum(map(len, parts))
+        size = sum([part.size for part in parts])
         if not plan.fits(self.total, size, self.most, False):
             raise Full("no room to compact")
         self.append(parts)
         self.copied += size
         name = parts[0].told[0]
         if parts[0].kind != OVER:
-            self.forget(name)
             before = self.entries.get(name)
-            self.entries[name] = Entry(before.holds if before else (), before is not None and before.owed)
+            self.begin_anew(name, before, self.newest, before is not None and before.owed)
         for part in parts:
-            self.place(part.kind, part.told, self.newest, len(part))
-
-    def still(self, one, number):
-        """The records to write for what a compaction meets: none, where it is no more needed."""
-        name, entry = one.told[0], self.entries.get(one.told[0])
-        if one.kind == OVER:
-            if entry is not None:
-                return []
-            standing = [seg for seg in one.told[2:] if seg in self.segments and seg != number]
-            keeps = standing or self.remembered(name)
-            return [record(OVER, [name, one.told[1], *standing])] if keeps else []
-        if entry is None or not entry.bytes.get(number):
-            return []       # over, or all of it was copied on before
-        return self.refresh(name)
+            self.place(part.kind, part.told, self.newest, part.size)
 
     def removed(self, number):
         self.sized(number, None)
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -7,13 +7,18 @@
 recovered desk is held against it.
 """
 import itertools
+import os
 import random
+import signal
 import sys
+import tempfile
+import time
 
 import click
 
 from courseroute.decide import HOUSE
 from courseroute.journal.faulty import Crash, FaultyDisk
+from courseroute.journal.learned import Learned
 from courseroute.journal.store import Journal
 from courseroute.state.desk import Desk
 
@@ -201,12 +206,48 @@
     return disk.crash_at <= disk.calls, bool(disk.fails) or disk.room is not None
 
 
+def complain(event, **told):
+    raise AssertionError(f"{event}: {told}")
+
+
+def kill_writers(kills, folder, seed=1):
+    """A process writes learned state as fast as it can and is killed, again and again: what is read is always
+    whole and never older than what came back from `keep`. How many writes were seen."""
+    draw, seen, last = random.Random(seed), 0, -1
+    for _ in range(kills):
+        out, into = os.pipe()
+        child = os.fork()
+        if not child:
+            learned, count = Learned(folder, lambda *told, **more: None), last
+            while True:
+                count += 1
+                learned.keep([["host", [count], ["x" * 4000]]], count)
+                os.write(into, count.to_bytes(8, "little"))
+        os.close(into)
+        time.sleep(draw.uniform(0, 0.02))
+        os.kill(child, signal.SIGKILL)
+        os.waitpid(child, 0)
+        with open(out, "rb") as pipe:
+            told = pipe.read()
+        if told:
+            seen, last = seen + len(told) // 8, int.from_bytes(told[-8:], "little")
+        found, at = Learned(folder, complain).read()
+        now = found[0][1][0] if found else -1
+        assert last <= now <= last + 1 and (now < 0 or at == now), f"{now} was read, {last} had come back"
+        last = now
+    return seen
+
+
 @click.command()
 @click.option("--runs", default=1000, show_default=True)
 @click.option("--seed", default=1, show_default=True)
 @click.option("--length", default=400, show_default=True)
-def main(runs, seed, length):
+@click.option("--kills", default=500, show_default=True, help="Of a process that writes learned state.")
+def main(runs, seed, length, kills):
     """Cut scripted lives off; say how many held."""
+    with tempfile.TemporaryDirectory() as folder:
+        writes = kill_writers(kills, folder, seed)
+        click.echo(f"{kills} kills of a writer of learned state, {writes} writes: whole each time")
     cuts, broken = 0, []
     for number in range(seed, seed + runs):
         try:
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -105,14 +105,14 @@
         self.bytes += size
         self.log.live += size
 
-    def promise(self, msg):
-        if not msg.promised:
-            msg.promised = True
-            try:
-                self.log.write(msg.record())
-            except Full:
-                msg.promised = False
-                raise
+    def promise(self, msg, *calls):
+        """Writes that it is taken on, where that is not written yet, and a call about to leave, in one go."""
+        fresh, msg.promised = not msg.promised, True
+        try:
+            self.log.write(*([msg.record()] if fresh else ()), *calls)
+        except Full:
+            msg.promised = not fresh
+            raise
 
     def fault(self, cause):
         self.say("journal cannot be written", error=str(cause)[:200], size=self.log.size, live=self.log.live)
@@ -204,8 +204,7 @@
         n = len(msg.legs)
         msg.legs.append([host, now, None])
         try:
-            self.promise(msg)
-            self.log.write(record(records.CALL, [name, n, host, now, None]))
+            self.promise(msg, record(records.CALL, [name, n, host, now, None]))
         except Full as cause:       # what can't be written must not leave
             self.fault(cause)
             self.hosts.unsent(msg, n, host)
