The log names each attempt and close: ids, times, window, cause; figures every 10 s

Change: an attempt that repeats one that may have run, or ends other than delivered or refused, gets a line with message, number, host, ending, kept or new connection, and the times since its dispatch at which the connection was up, the last byte was written and it ended; a repeat also tells when the first attempt was dispatched and the lane's window. An attempt that was not sent says why (HoldCause). A line of totals every 10 s and at the end carries the event loop's longest delay. The driver of attempts is reformatted, its class named Attempt. No decision changes: the actions are the same, with the cause behind.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -7,6 +7,7 @@
 import random
 
 from courseroute.model.agenda import Agenda
+from courseroute.model.causes import CloseCause, HoldCause
 from courseroute.model.histogram import Histogram, Meter, Odds
 from courseroute.model.lines import Lines
 from courseroute.model.types import Call, Destination, Host, Lane, Leg, Message, Route, Turn, parts, set_parts
@@ -99,7 +100,7 @@
         if not dst.routes:
             del self.dsts[dst.where]
             for msg in dst.stranded:
-                self.end(now, msg)
+                self.end(now, msg, CloseCause.NO_DESTINATION)
 
     def memory(self, now):
         """What the next life is told after the list, lest it burst upon hosts that push back or are out."""
@@ -132,7 +133,7 @@
             msg.first, msg.ran, msg.last_host = doubtful[0][1], True, self.hosts.get(doubtful[-1][0])
             if msg.key and msg.lane.ordered:
                 self.turns.setdefault(msg.key, Turn()).rest = now + self.terms.get("turn_gap", 0)
-        self.at(deadline - self.margin, self.end, msg)
+        self.at(deadline - self.margin, self.end, msg, CloseCause.DEADLINE)
         self.at(self.late(msg), self.drop_late, msg)
         if self.admit(now, msg) and self.turn(now, msg):
             self.book(now, msg)
@@ -143,10 +144,23 @@
             self.finish(now, self.open[name])
         return self.said()
 
-    def may_leave(self, now, name, n):
-        """Asked when a call's connection is up: a wait, or a drain, may have been told since it was sent."""
+    def why_held(self, now, name, n):
+        """Asked when an attempt's connection is up: a HoldCause if it must not be sent any more, else None. A
+        wait, or a drain, may have been told since it was dispatched."""
         leg = self.legs.get((name, n))
-        return leg is not None and not leg.msg.over and leg.host.listed and now >= leg.host.route.wait
+        if leg is None or leg.msg.over:
+            return HoldCause.CLOSED
+        if not leg.host.listed:
+            return HoldCause.NOT_LISTED
+        return HoldCause.TOLD_WAIT if now < leg.host.route.wait else None
+
+    def first_may_have_run(self, name, n):
+        """(dispatch time of the first attempt that may have run, idempotency window), in nanoseconds, where
+        the n-th attempt repeats such a one; else None. The window is 0 for a lane that has none."""
+        leg = self.legs.get((name, n))
+        if leg is None or leg.msg.first is None or leg.msg.first >= leg.at:
+            return None
+        return leg.msg.first, leg.msg.lane.window
 
     def stop(self, now):
         """What can't be sent before the end is given back to other relays, where that is harmless."""
@@ -157,7 +171,7 @@
 
     def give_back(self, now):
         for msg in [msg for msg in self.open.values() if not msg.out and self.harmless(now, msg)]:
-            self.end(now, msg)
+            self.end(now, msg, CloseCause.STOPPING)
         self.acts.append(("see off",))      # not before: the others' parts of the limits don't grow
 
     def wake(self, now):
@@ -264,8 +278,12 @@
             msg.over_share = left < 1
             self.shares[msg.customer] = now, left - (not msg.over_share)
         free = self.terms.get("room", 1 << 30) - len(self.open) - sum(len(rt.held) for rt in msg.dst.routes)
-        if msg.dst is self.nowhere or now >= self.late(msg) or free < 0:
-            self.end(now, msg)
+        if msg.dst is self.nowhere:
+            self.end(now, msg, CloseCause.NO_DESTINATION)
+        elif now >= self.late(msg):
+            self.end(now, msg, CloseCause.TOO_LATE)
+        elif free < 0:
+            self.end(now, msg, CloseCause.NO_ROOM)
         return not msg.over
 
     def turn(self, now, msg):
@@ -363,8 +381,10 @@
             due = max(now, rt.wait, second + int(apart))
         last = min(self.late(msg), now + msg.lane.target if msg.over_share else self.late(msg))
         last = min(last, self.closing) if self.harmless(now, msg) else last
-        if due >= last or not self.may_send(due, msg):
-            return self.end(now, msg)
+        if not self.may_send(due, msg):
+            return self.end(now, msg, self.why_no_attempt(msg))
+        if due >= last:
+            return self.end(now, msg, CloseCause.BOOKED_TOO_LATE)
         rt.second, rt.used, rt.riders = second, used, riders
         self.ticket += 1
         msg.seq = msg.seq or self.ticket
@@ -389,7 +409,7 @@
     def release(self, now):
         for rt, msg in self.lines.walk():
             if not self.may_send(now, msg):     # a window may close while a message waits for its slot
-                self.end(now, msg)
+                self.end(now, msg, self.why_no_attempt(msg))
             elif host := self.pick(now, rt, msg):
                 self.send(now, msg, rt, host)
 
@@ -514,22 +534,29 @@
         if now < self.late(msg):
             self.at(self.late(msg), self.drop_late, msg)
         elif not msg.out:
-            self.end(now, msg)
+            self.end(now, msg, CloseCause.TOO_LATE)
+
+    def why_no_attempt(self, msg):
+        """The cause that closes a message for which `may_send` says no."""
+        if msg.sent >= self.terms.get("legs", 1 << 30):
+            return CloseCause.NO_ATTEMPT_LEFT
+        return CloseCause.WINDOW_CLOSED if msg.lane.effect == "keyed" else CloseCause.MAY_HAVE_RUN
 
     def harmless(self, now, msg):
         lane = msg.lane
         return msg.first is None or lane.effect == "retriable" or (
             lane.effect == "keyed" and lane.group == "all" and self.may_send(now, msg))
 
-    def end(self, now, msg):
+    def end(self, now, msg, cause):
         """The one final answer: pushed back where trying again is harmless, failed else."""
         if msg.over:
             return
         if self.harmless(now, msg):
             stay = max((min(rt.second, rt.wait or rt.second) - now for rt in msg.dst.routes), default=S)
-            self.acts.append(("push back", msg.name, max(0, min(stay, self.terms.get("stay_away", 0)))))
+            stay = max(0, min(stay, self.terms.get("stay_away", 0)))
+            self.acts.append(("push back", msg.name, stay, cause))
         else:
-            self.acts.append(("fail", msg.name))
+            self.acts.append(("fail", msg.name, cause))
         if msg.out and self.terms.get("cancel"):
             self.acts += [("cancel", msg.name, n) for n in range(msg.sent) if (msg.name, n) in self.legs]
         self.finish(now, msg)
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -20,6 +20,7 @@
 from courseroute.journal.faulty import Crash, FaultyDisk
 from courseroute.journal.learned import Learned
 from courseroute.journal.store import Journal
+from courseroute.model.causes import CloseCause
 from courseroute.state.desk import Desk
 
 MOST = 60_000
@@ -94,7 +95,7 @@
             desk.finish(desk.held[name], "delivered")
             self.ended(desk, name, None)
         elif name in desk.held and what == "end":
-            desk.end(name, "failed", 0)
+            desk.end(name, "failed", 0, CloseCause.DEADLINE)
             self.ended(desk, name, "failed")
         elif name in desk.owed and what == "told":
             desk.told_of([name])
--- /dev/null
+++ b/courseroute/model/causes.py
@@ -0,0 +1,29 @@
+"""Why a message was closed without a delivery, and why an attempt was not sent."""
+
+import enum
+
+
+class CloseCause(enum.StrEnum):
+    """Why a message got a final status other than delivered."""
+
+    NO_DESTINATION = "destination not listed"
+    NO_ROOM = "no room"
+    TOO_LATE = "no time left for an attempt"
+    BOOKED_TOO_LATE = "booked past its time"
+    WINDOW_CLOSED = "idempotency window closed"
+    MAY_HAVE_RUN = "may have run"
+    NO_ATTEMPT_LEFT = "no attempt left"
+    DEADLINE = "deadline"
+    STOPPING = "relay stops"
+    NOT_READY = "relay not ready"
+    CLIENT_GONE = "client gone"
+    NOT_WRITTEN = "journal cannot be written"
+
+
+class HoldCause(enum.StrEnum):
+    """Why an attempt whose connection is up may not be sent."""
+
+    CLOSED = "message closed"
+    NOT_LISTED = "endpoint draining or gone"
+    TOLD_WAIT = "told to wait"
+    NO_CONNECTION = "endpoint gone or no room for a connection"
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -17,7 +17,10 @@
     outcome(now, name, n, host, ending, took, wait, report, over, idle)
                                                 idle: how long the connection had stood so, None for a new one
     fresh_for(now)                              how long a connection may have stood idle to be used again
-    may_leave(now, name, n)                     a call's connection is up: True if it may still leave
+    why_held(now, name, n)                      an attempt's connection is up: a HoldCause if it must not be
+                                                sent any more, else None
+    first_may_have_run(name, n)                 (time, window) of the first attempt that may have run, if the
+                                                n-th repeats it, else None
     stop(now)                                   the relay is asked to end
     wake(now)                                   an asked-for wake-up
     settle(now)                                 the batch is read: held messages are released
@@ -26,7 +29,8 @@
 did, and broke before all was written), reset (it broke behind that), stale (so did a kept one, no answer
 begun). A report is a map with `left` (share of the allowance) and `limit` (calls a second), or None.
 
-Actions: ("send", name, host, until)  ("cancel", name, n)  ("push back", name, stay_away)  ("fail", name)
+Actions: ("send", name, host, until)  ("cancel", name, n)  ("push back", name, stay_away, CloseCause)
+("fail", name, CloseCause)
 ("close", host)  ("wake", delay)  ("watch", wait)  ("log", text)
 ("see off",): clients that stand between requests go to other relays  ("exit",)
 
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -24,6 +24,7 @@
 from courseroute.wire.notices import Notices
 from courseroute.wire.words import roster_of
 
+REPORT_EVERY_S = 10.0   # between two lines of figures in the log
 LAST_LIFE = 2.0         # seconds in which a process that was killed lets go of the folder
 
 
@@ -90,10 +91,12 @@
             nursery.start_soon(self.sweep, pool)
             nursery.start_soon(self.compact, log)
             nursery.start_soon(desk.syncer.serve)
+            nursery.start_soon(self.report)
             await self.left.wait()
             await self.close(listener)
             nursery.cancel_scope.cancel()
         log.close()
+        self.say_figures()
         self.enter(Phase.ENDED, held=len(desk.held), owed=len(desk.owed))
 
     def learn_known(self, watch):
@@ -120,6 +123,15 @@
                 await trio.sleep(HOUSE["notice_pause"] / 1e9)
         listener.close()
 
+    async def report(self):
+        while True:
+            await trio.sleep(REPORT_EVERY_S)
+            self.say_figures()
+
+    def say_figures(self):
+        if totals := self.desk.figures.take_report():
+            say("figures", held=len(self.desk.held), owed=len(self.desk.owed), **totals)
+
     async def heed_signals(self, task_status):
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             task_status.started()
@@ -170,7 +182,9 @@
 
     async def sweep(self, pool):
         while True:
+            due = time.monotonic_ns() + HOUSE["sweep"]
             await trio.sleep(HOUSE["sweep"] / 1e9)
+            self.desk.figures.loop_was_late(time.monotonic_ns() - due)
             pool.sweep()
             self.desk.write_late()
             self.desk.keep_lessons()
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -10,8 +10,11 @@
 from courseroute.journal.frames import record
 from courseroute.journal.replay import Replay
 from courseroute.journal.store import DAMAGE, Full
+from courseroute.model.causes import CloseCause
+from courseroute.state.figures import Figures
 from courseroute.wire import words
 
+MS = 1_000_000
 LEG, NOTICE, END = 160, 80, 40      # bytes of such a record in the log, beside the message's name
 
 
@@ -49,6 +52,7 @@
         self.withheld = {}                  # ends not told yet, as they are not written: name -> deadline
         self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
+        self.figures = Figures()
         log.refresh, log.remembered = self.live_records, self.ends.__contains__
 
     # Clients.
@@ -73,7 +77,8 @@
         now = self.clock()
         msg = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
-        if gone or not self.ready or not self.room(self.measure(msg)):
+        if cause := self.why_refused(msg, gone):
+            self.figures.count("closed", cause)
             return 503, 0
         self.held[name] = msg
         self.count(msg.size)
@@ -84,12 +89,22 @@
             except Full as cause:
                 self.fault(cause)
                 self.forget(msg, None)
+                self.figures.count("closed", CloseCause.NOT_WRITTEN)
                 self.tell("withdraw", name)
                 return 503, 0
+            self.figures.count("messages", "taken on")
             return 202, 0
         state, after = msg.ending
         return {"delivered": 202, "returned": 503}.get(state, 500), after
 
+    def why_refused(self, msg, gone):
+        """The CloseCause that turns a message away before the decisions are asked, else None."""
+        if gone:
+            return CloseCause.CLIENT_GONE
+        if not self.ready:
+            return CloseCause.NOT_READY
+        return None if self.room(self.measure(msg)) else CloseCause.NO_ROOM
+
     def room(self, size):
         fits = self.log.room(size) and self.bytes + size <= self.memory
         if fits != (self.full is None):
@@ -137,8 +152,11 @@
     def fresh_for(self):
         return self.dispatcher.fresh_for(self.clock())
 
-    def may_leave(self, name, n):
-        return self.dispatcher.may_leave(self.clock(), name, n)
+    def why_held(self, name, n):
+        return self.dispatcher.why_held(self.clock(), name, n)
+
+    def first_may_have_run(self, name, n):
+        return self.dispatcher.first_may_have_run(name, n)
 
     def note(self, *parts):
         """A record that the next life goes by; one that can't be written is told, an end is tried again."""
@@ -214,11 +232,11 @@
     def do_cancel(self, name, n):
         self.hosts.cancel(name, n)
 
-    def do_push_back(self, name, stay_away):
-        self.end(name, "returned", stay_away)
+    def do_push_back(self, name, stay_away, cause):
+        self.end(name, "returned", stay_away, cause)
 
-    def do_fail(self, name):
-        self.end(name, "failed", 0)
+    def do_fail(self, name, cause):
+        self.end(name, "failed", 0, cause)
 
     def do_close(self, host):
         self.hosts.close(host)
@@ -240,14 +258,17 @@
 
     # Ends.
 
-    def end(self, name, state, after):
+    def end(self, name, state, after, cause):
         msg = self.held.get(name)
         if msg is None:
             return
         msg.ending = state, after
+        self.figures.count("closed", cause)
         if not msg.promised:        # its client still waits: the answer tells it
             self.forget(msg, state)
             return
+        self.say("message closed", id=name, state=state, cause=cause, lane=msg.lane, attempts=len(msg.legs),
+                 held_ms=(self.clock() - msg.at) // MS)
         self.owed[name] = state, after
         self.count(NOTICE + len(name))
         self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
@@ -267,6 +288,7 @@
 
     def finish(self, msg, state):
         msg.ending = state, 0
+        self.figures.count("messages", state)
         self.forget(msg, state)
         if msg.promised:
             self.note(self.log.over(msg.name, state))
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -1,17 +1,21 @@
-"""Thin driver for calls to hosts: one task a call, connections kept in the pool between calls."""
+"""Thin driver for attempts at hosts: one task each, connections kept in the pool between attempts."""
+
 import math
 
 import trio
 
+from courseroute.model.causes import HoldCause
 from courseroute.wire import words
 from courseroute.wire.http import Refused
 from courseroute.wire.link import LOST, Link
 
-BROKE = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)    # a connection once up
+# Errors of a connection that was up once.
+BROKE = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)
+UNREMARKABLE = ("delivered", "full")  # endings of first attempts that are counted, but not logged
 
 
 class Hosts:
-    """Each call ends in one `desk.returned`; whether its last byte was written tells if it may have run."""
+    """Each attempt ends in one `desk.returned`; it may have run once its last byte was written."""
 
     def __init__(self, nursery, desk, pool, house, terms, clock, log):
         self.nursery, self.desk, self.pool, self.house, self.clock = nursery, desk, pool, house, clock
@@ -21,7 +25,7 @@
 
     def call(self, msg, n, host, until):
         scope = self.scopes[(msg.name, n)] = trio.CancelScope()
-        self.nursery.start_soon(self.leg, msg, n, host, until, scope)
+        self.nursery.start_soon(self.attempt, msg, n, host, until, scope)
 
     def cancel(self, name, n):
         if (name, n) in self.scopes:
@@ -30,38 +34,64 @@
     def close(self, host):
         self.pool.close(host)
 
-    async def leg(self, msg, n, host, until, scope):
-        begun = self.clock()
-        leg = Leg(self, msg, n, host, until)
-        scope.deadline = trio.current_time() + (until - begun) / 1e9
+    async def attempt(self, msg, n, host, until, scope):
+        attempt = Attempt(self, msg, n, host, until)
+        scope.deadline = trio.current_time() + (until - attempt.begun) / 1e9
         try:
             with scope:
-                await leg.go()
+                await attempt.go()
         except (*LOST, Refused, trio.TooSlowError) as cause:
-            leg.broke = isinstance(cause, BROKE)
-        except Exception as cause:      # one call's odd answer must not end the relay
+            attempt.broke = isinstance(cause, BROKE)
+        except Exception as cause:  # one attempt's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
-        over = self.clock() >= until
-        call, report = leg.link and leg.link.call, None
-        if leg.written and (call.settled or call.first == 200):     # the first line of a delivery is true,
-            told = words.ending_of(call.first, call.headers)        # whatever comes behind it
-            report = words.report_of(call.headers.get("x-load"))
-        elif not leg.written:       # proved never to have run
-            held_back = leg.held_back or scope.cancelled_caught and not over
-            told = "unsent" if held_back else "broken" if leg.broke else "unreachable", 0, False
-        elif scope.cancelled_caught:
-            told = "timeout" if over else "cancelled", 0, False
-        else:
-            told = "stale" if leg.idle is not None and not call.begun else "reset", 0, False
+        told, report = self.outcome_of(attempt, scope)
+        self.note(attempt, told[0])
         try:
-            self.desk.returned(msg.name, n, host, *told, leg.took or self.clock() - begun, report, leg.idle)
-            if call and call.settled:
-                await leg.drain()
+            took = attempt.elapsed() if attempt.answered is None else attempt.answered
+            self.desk.returned(msg.name, n, host, *told, took, report, attempt.idle)
+            if attempt.link and attempt.link.call.settled:
+                await attempt.drain()
         except (*LOST, Refused):
             pass
         finally:
-            leg.close()
+            attempt.close()
+
+    def outcome_of(self, attempt, scope):
+        """((ending, told wait, whether the message is over), load report or None)."""
+        over = self.clock() >= attempt.until
+        call = attempt.link and attempt.link.call
+        if attempt.sent is not None and (call.settled or call.first == 200):
+            # The first line of a delivery is true, whatever comes behind it.
+            return words.ending_of(call.first, call.headers), words.report_of(call.headers.get("x-load"))
+        if attempt.sent is None:  # proved never to have run
+            held = attempt.held or scope.cancelled_caught and not over
+            return ("unsent" if held else "broken" if attempt.broke else "unreachable", 0, False), None
+        if scope.cancelled_caught:
+            return ("timeout" if over else "cancelled", 0, False), None
+        return ("stale" if attempt.idle is not None and not call.begun else "reset", 0, False), None
+
+    def note(self, attempt, ending):
+        """Counts an attempt; logs it with its times unless it was a first one that ended as most do."""
+        figures, repeated = self.desk.figures, attempt.repeated
+        figures.count("attempts", ending)
+        if attempt.held:
+            figures.count("held attempts", attempt.held)
+        if repeated is None and ending in UNREMARKABLE:
+            return
+        told = {"id": attempt.msg.name, "attempt": attempt.n, "host": attempt.host, "ending": ending}
+        told["connection"] = "new" if attempt.idle is None else "kept"
+        told |= {
+            "connected_ms": milliseconds(attempt.connected),
+            "sent_ms": milliseconds(attempt.sent),
+            "ended_ms": milliseconds(attempt.elapsed()),
+        }
+        if attempt.held:
+            told["held"] = attempt.held
+        if repeated is not None:
+            first, window = repeated
+            told |= {"first_ms": milliseconds(first - attempt.begun), "window_ms": milliseconds(window)}
+        self.log("attempt ended", **told)
 
     def unsent(self, msg, n, host):
         """For a call that must not leave; the module is told a little later, lest it try at once for ever."""
@@ -72,30 +102,43 @@
         self.desk.returned(msg.name, n, host, "unsent", 0, False, 0, None)
 
 
-class Leg:
+class Attempt:
+    """One attempt at one host. Times are nanoseconds since its dispatch; None for what did not happen."""
+
     def __init__(self, hosts, msg, n, host, until):
         self.hosts, self.msg, self.n, self.host, self.until = hosts, msg, n, host, until
-        self.link = self.took = None
-        self.written = self.held_back = self.broke = False
-        self.idle = None        # how long its connection had stood idle, None for a new one
+        self.begun = hosts.clock()
+        self.repeated = hosts.desk.first_may_have_run(msg.name, n)
+        self.link = None
+        self.connected = self.sent = self.answered = None
+        self.held = None  # a HoldCause: why it was not sent
+        self.broke = False
+        self.idle = None  # how long its connection had stood idle, None for a new one
+
+    def elapsed(self):
+        return self.hosts.clock() - self.begun
 
     async def go(self):
-        hosts, begun = self.hosts, self.hosts.clock()
+        hosts = self.hosts
         self.link, self.idle = hosts.pool.idle(self.host)
         self.link = self.link or await self.connect()
-        # A wait, or a drain, may have been told while the connection came up.
-        self.held_back = self.link is None or not hosts.desk.may_leave(self.msg.name, self.n)
-        if self.held_back:
+        if self.link is None:
+            self.held = HoldCause.NO_CONNECTION
+            return
+        self.connected = self.elapsed()
+        self.held = hosts.desk.why_held(self.msg.name, self.n)
+        if self.held:
             return
         await hosts.desk.settled()
         fields = words.call_head(self.msg, self.until - hosts.clock())
         await self.link.send("POST", "/hook", fields, self.msg.body)
-        self.written = True
+        self.sent = self.elapsed()
         call = self.link.call
-        while not call.settled:     # an answer that began and stands still is spoilt
+        while not call.settled:  # an answer that began and stands still is spoilt
             with trio.fail_after(hosts.house["drain_answer"] / 1e9 if call.begun else math.inf):
                 await self.link.hear()
-            self.took = self.took or hosts.clock() - begun
+            if self.answered is None:
+                self.answered = self.elapsed()
 
     async def connect(self):
         """None where the host left or there is no room for a connection; TimeoutError where none comes up."""
@@ -127,3 +170,8 @@
         if self.link is not None:
             self.hosts.pool.drop(self.link)
             self.link = None
+
+
+def milliseconds(span):
+    """A span of nanoseconds for the log; None stays None."""
+    return None if span is None else round(span / 1e6, 1)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -176,7 +176,7 @@
     relay.take()
     if what:
         relay.tell(what, *told)
-    assert relay.relay.may_leave(relay.now, "m1", 0) == may
+    assert (relay.relay.why_held(relay.now, "m1", 0) is None) == may
 
 
 def test_a_window_that_closes_while_a_message_waits_ends_it():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -48,6 +48,27 @@
         assert len(town.calls) == 1
 
 
+def test_the_log_says_why_a_message_was_tried_again_and_why_it_was_closed(town):
+    town.plan = lambda call: "drop" if call["n"] in (0, 2) else (200, {})
+    town.start()
+    assert town.hand_in("a", "order") == 202
+    assert until(lambda: len(town.calls) == 2)
+    assert town.hand_in("b", "once") == 202
+    assert until(lambda: town.notices)
+    town.end(signal.SIGTERM)
+    logged = town.events()
+    first, repeat, last = (event for event in logged if event["event"] == "attempt ended")
+    assert (first["id"], first["attempt"], first["ending"]) == ("a", 0, "reset") and "first_ms" not in first
+    assert (repeat["id"], repeat["attempt"], repeat["ending"]) == ("a", 1, "delivered")
+    assert repeat["first_ms"] < 0 <= repeat["connected_ms"] <= repeat["sent_ms"] <= repeat["ended_ms"]
+    assert repeat["window_ms"] == 5000 and last["id"] == "b"
+    closed, = (event for event in logged if event["event"] == "message closed")
+    assert (closed["id"], closed["state"], closed["cause"]) == ("b", "failed", "may have run")
+    figures = [event for event in logged if event["event"] == "figures"][-1]
+    assert figures["attempts.delivered"] == figures["messages.delivered"] == 1
+    assert figures["messages.taken on"] == 2 and figures["closed.may have run"] == 1
+
+
 def test_a_told_wait_is_heeded_by_all_messages(town):
     town.plan = lambda call: (429, {"Wait-Ms": "900"}) if call["n"] == 0 else (200, {})
     town.start()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,6 +10,7 @@
 from courseroute.journal.faulty import FaultyDisk
 from courseroute.journal.frames import OWED
 from courseroute.journal.store import Journal
+from courseroute.model.causes import CloseCause
 from courseroute.state.desk import END, Desk
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
@@ -120,7 +121,7 @@
     if end == "delivered":
         desk.finish(desk.held["a"], end)
     elif end:
-        desk.end("a", end, 500)
+        desk.end("a", end, 500, CloseCause.DEADLINE)
     step("told")
     desk.log.close()
     again = desk_of(tmp_path, Still())
@@ -147,8 +148,8 @@
         left = S * (1 + (name == "b")) + HOUSE["sweep"]
         assert desk.take(TOLD | {"name": name, "left": left}, False) == (202, 0)
     disk.room = disk.used()
-    desk.end("a", "returned", 0)
-    desk.end("b", "failed", 0)
+    desk.end("a", "returned", 0, CloseCause.DEADLINE)
+    desk.end("b", "failed", 0, CloseCause.DEADLINE)
     desk.write_late()
     assert not desk.notices.lines
     now[0] += S
