--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(PYTHON) -m pytest -q -n 4
 
 lint: .venv-test/.installed
-	.venv-test/bin/ruff check courseroute tests
+	.venv-test/bin/ruff check courseroute tests benchmarks
+	.venv-test/bin/ruff format --check courseroute tests benchmarks
 
 run: build
 	.venv/bin/python -m courseroute
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,21 @@
+"""Known failures: tests listed in KNOWN-RED.txt may fail, are printed by name, and nothing else may."""
+
+from pathlib import Path
+
+import pytest
+from known_red import read_known_red
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(items):
+    known = {entry.test: entry for entry in read_known_red(KNOWN_RED)}
+    for item in items:
+        if entry := known.get(item.nodeid):
+            item.add_marker(pytest.mark.xfail(reason=f"issue {entry.issue}: {entry.seen}", strict=False))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for outcome in ("xfailed", "xpassed"):
+        for report in terminalreporter.stats.get(outcome, []):
+            terminalreporter.write_line(f"KNOWN RED ({outcome}): {report.nodeid}")
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,84 @@
+"""A TCP proxy before one address, which makes connections come up late or holds their bytes back."""
+
+import contextlib
+import select
+import socket
+import threading
+
+POLL_S = 0.01
+CHUNK = 65536
+
+
+class Proxy:
+    """Passes bytes on both ways. All switches may be used from any thread; `close` ends it."""
+
+    def __init__(self, place, receive_buffer=None):
+        """`place`: (address, port) behind it; `receive_buffer`: bytes that the system takes in unread."""
+        self.place = place
+        self.listener = socket.socket()
+        if receive_buffer:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.address = self.listener.getsockname()
+        self.accepting, self.passing, self.ended = threading.Event(), threading.Event(), threading.Event()
+        self.paused = threading.Event()
+        self.accepting.set()
+        self.passing.set()
+        self.fillers = []
+        self.threads = [threading.Thread(target=self.accept, daemon=True)]
+        self.threads[0].start()
+
+    def drop_new_connections(self):
+        """From now on the system drops the first packet of each new connection, as the queue of those to be
+        accepted is full. A client sends that packet again after a second."""
+        self.paused.clear()
+        self.accepting.clear()
+        self.paused.wait()
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    def accept_again(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.accepting.set()
+
+    def hold_bytes(self):
+        """Nothing that clients send is read any more."""
+        self.passing.clear()
+
+    def pass_bytes(self):
+        self.passing.set()
+
+    def close(self):
+        self.accept_again()
+        self.ended.set()
+        self.passing.set()
+        for thread in list(self.threads):
+            thread.join(5)
+        self.listener.close()
+
+    def accept(self):
+        while not self.ended.is_set():
+            if not self.accepting.is_set():
+                self.paused.set()
+                self.accepting.wait(POLL_S)
+            elif select.select([self.listener], [], [], POLL_S)[0]:
+                client, _ = self.listener.accept()
+                thread = threading.Thread(target=self.connection, args=(client,), daemon=True)
+                self.threads.append(thread)
+                thread.start()
+
+    def connection(self, client):
+        with client, socket.create_connection(self.place) as server, contextlib.suppress(OSError):
+            while not self.ended.is_set():
+                wanted = [server, client] if self.passing.is_set() else [server]
+                for source in select.select(wanted, [], [], POLL_S)[0]:
+                    data = source.recv(CHUNK)
+                    if not data:
+                        return
+                    (server if source is client else client).sendall(data)
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,27 @@
+"""The list of known failures names tests that exist, and is read strictly."""
+
+import re
+from pathlib import Path
+
+import pytest
+from known_red import KnownRed, parse_entry, read_known_red
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_every_known_failure_names_a_test_that_exists():
+    for entry in read_known_red(ROOT / "KNOWN-RED.txt"):
+        file, _, function = entry.test.partition("::")
+        name = function.partition("[")[0]
+        assert re.search(rf"^def {name}\(", (ROOT / file).read_text(), re.MULTILINE), entry
+
+
+@pytest.mark.parametrize("line", ["tests/a.py::b", "a | b | c", "a | b |  | 27", "a | b | c | d | e"])
+def test_an_entry_without_all_its_fields_is_refused(line):
+    with pytest.raises(ValueError):
+        parse_entry(line)
+
+
+def test_an_entry_has_four_fields():
+    entry = parse_entry("t.py::t | pytest t.py::t (no seed) | sent twice | 27")
+    assert entry == KnownRed("t.py::t", "pytest t.py::t (no seed)", "sent twice", "27")
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,54 @@
+"""Repeats of keyed messages on real processes: none may arrive behind the idempotency window."""
+
+import pytest
+from helpers import Town, until
+from proxy import Proxy
+
+WINDOW_S = 0.8
+
+
+@pytest.fixture
+def town(tmp_path):
+    town = Town(tmp_path)
+    grades = [grade | {"window": int(WINDOW_S * 1_000_000)} for grade in town.settings["grades"]]
+    town.settings = town.settings | {"grades": grades}
+    yield town
+    town.close()
+
+
+@pytest.fixture
+def proxies(town):
+    """One before each host; the list of endpoints names the proxies."""
+    made = []
+    for places in town.where.values():
+        made.append(Proxy(places[0]))
+        places[:] = [made[-1].address]
+    yield made
+    for proxy in made:
+        proxy.close()
+
+
+def attempts(town):
+    return [event for event in town.events() if event["event"] == "attempt ended"]
+
+
+# Guards against a keyed request being sent again outside its window because its connection came up late.
+def test_a_repeat_does_not_leave_when_its_connection_comes_up_behind_the_idempotency_window(town, proxies):
+    def lose_first_answer(call):
+        if call["n"]:
+            return 200, {}
+        for proxy in proxies:
+            proxy.drop_new_connections()
+        return "drop"
+
+    town.plan = lose_first_answer
+    town.start()
+    assert town.hand_in("a", "order") == 202
+    assert until(lambda: attempts(town))
+    for proxy in proxies:
+        proxy.accept_again()
+    assert until(lambda: town.notices or len(town.calls) > 1)
+    assert (
+        len(town.calls) == 1
+    ), f"sent again {town.calls[1]['at'] - town.calls[0]['at']:.3f} s after the first"
+    assert town.notices == [{"id": "a", "state": "failed"}]
