A repeat leaves only inside its idempotency window, asked when its bytes leave

Cause: the window was looked at when an attempt was dispatched (`Dispatcher.book`, `release`), not when it was written. `Dispatcher.may_leave`, asked once its connection was up, looked at waits and drains alone, and `Attempt.go` awaited a sync between that question and the write. A connection whose first packet is lost comes up 1.0 s later, and its bytes left then. The class of bug is check-then-act over an await: a permission that ends with time, taken at dispatch and used later.

Change: each attempt knows the first one that may have run which it repeats. `why_held` compares the window when the connection is up, after the sync, with nothing awaited before the write; the write itself is cut off at `send_by`, so that a request that is only half written by then never becomes whole. Both end 160 ms before the window, as a process may be held up for 150 ms between reading its clock and writing.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -14,6 +14,7 @@
 
 MS = 1_000_000
 S = 1000 * MS
+FOREVER = 1 << 63
 HEADROOM, MOST, GROWTH, CUT, FORGET = 0.8, 1.0, 0.1, 0.7, 60 * S   # the budget, as the design page has it
 LEAST, PART = 1.0, 0.1                                      # a second: cuts leave all relays, each one's part
 EDGES = [int(10 * MS * 1.5 ** i) for i in range(20)]        # call times, 10 ms to 22 s
@@ -28,6 +29,7 @@
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
+STALL = 150 * MS                # a process may be held up so long between reading its clock and writing
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
 OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual"
 OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"       # these outlast a restart
@@ -152,15 +154,21 @@
             return HoldCause.CLOSED
         if not leg.host.listed:
             return HoldCause.NOT_LISTED
-        return HoldCause.TOLD_WAIT if now < leg.host.route.wait else None
+        if now < leg.host.route.wait:
+            return HoldCause.TOLD_WAIT
+        return None if now < self.repeatable_until(leg.msg, leg.first) else HoldCause.WINDOW_CLOSED
+
+    def send_by(self, name, n):
+        """The time by which the last byte of that attempt has to be written, None where none is set."""
+        leg = self.legs.get((name, n))
+        until = self.repeatable_until(leg.msg, leg.first) if leg else FOREVER
+        return None if until == FOREVER else until
 
     def first_may_have_run(self, name, n):
         """(dispatch time of the first attempt that may have run, idempotency window), in nanoseconds, where
         the n-th attempt repeats such a one; else None. The window is 0 for a lane that has none."""
         leg = self.legs.get((name, n))
-        if leg is None or leg.msg.first is None or leg.msg.first >= leg.at:
-            return None
-        return leg.msg.first, leg.msg.lane.window
+        return None if leg is None or leg.first is None else (leg.first, leg.msg.lane.window)
 
     def stop(self, now):
         """What can't be sent before the end is given back to other relays, where that is harmless."""
@@ -459,7 +467,7 @@
         call.size, call.left = call.size + 1, call.left + 1
         del rt.held[msg.name]
         msg.route, msg.last_host = None, host
-        self.legs[(msg.name, n)] = host.legs[(msg.name, n)] = Leg(msg, n, host, now, until, call)
+        self.legs[(msg.name, n)] = host.legs[(msg.name, n)] = Leg(msg, n, host, now, until, call, msg.first)
         msg.first = msg.first if msg.first is not None else now
         msg.sent, msg.out = n + 1, msg.out + 1
         self.acts.append(("send", msg.name, host.name, until))
@@ -525,9 +533,14 @@
     def may_send(self, when, msg):
         if msg.sent >= self.terms.get("legs", 1 << 30):
             return False
-        if msg.lane.effect == "retriable" or msg.first is None:
-            return True
-        return msg.lane.effect == "keyed" and when < msg.first + msg.lane.window - self.margin
+        return when < self.repeatable_until(msg, msg.first)
+
+    def repeatable_until(self, msg, first):
+        """The time before which an attempt may be written; `first`: when the first one that may have run was
+        dispatched, or None. A repeat has to arrive inside the lane's window, whatever holds the relay up."""
+        if first is None or msg.lane.effect == "retriable":
+            return FOREVER
+        return first + msg.lane.window - self.margin - STALL if msg.lane.effect == "keyed" else 0
 
     def drop_late(self, now, msg):
         """Guards against sending what can no longer be delivered in time."""
--- a/courseroute/model/causes.py
+++ b/courseroute/model/causes.py
@@ -26,4 +26,5 @@
     CLOSED = "message closed"
     NOT_LISTED = "endpoint draining or gone"
     TOLD_WAIT = "told to wait"
+    WINDOW_CLOSED = "idempotency window closed"
     NO_CONNECTION = "endpoint gone or no room for a connection"
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -19,6 +19,7 @@
     fresh_for(now)                              how long a connection may have stood idle to be used again
     why_held(now, name, n)                      an attempt's connection is up: a HoldCause if it must not be
                                                 sent any more, else None
+    send_by(name, n)                            when its last byte has to be written, None where that is open
     first_may_have_run(name, n)                 (time, window) of the first attempt that may have run, if the
                                                 n-th repeats it, else None
     stop(now)                                   the relay is asked to end
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -55,6 +55,7 @@
     at: int
     until: int
     call: Call
+    first: int | None = None            # dispatch time of the first that may have run, if this repeats it
 
 
 @dataclass(slots=True, eq=False)
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -155,6 +155,9 @@
     def why_held(self, name, n):
         return self.dispatcher.why_held(self.clock(), name, n)
 
+    def send_by(self, name, n):
+        return self.dispatcher.send_by(name, n)
+
     def first_may_have_run(self, name, n):
         return self.dispatcher.first_may_have_run(name, n)
 
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -126,14 +126,31 @@
             self.held = HoldCause.NO_CONNECTION
             return
         self.connected = self.elapsed()
+        await hosts.desk.settled()
+        # Asked last, with nothing awaited before the write: all that was waited for took its time.
         self.held = hosts.desk.why_held(self.msg.name, self.n)
         if self.held:
             return
-        await hosts.desk.settled()
-        fields = words.call_head(self.msg, self.until - hosts.clock())
-        await self.link.send("POST", "/hook", fields, self.msg.body)
-        self.sent = self.elapsed()
-        call = self.link.call
+        await self.send()
+        if self.sent is not None:
+            await self.hear_answer()
+
+    async def send(self):
+        """Writes the request, or leaves it unfinished and the attempt held when the time to do so is over."""
+        fields = words.call_head(self.msg, self.until - self.hosts.clock())
+        with trio.move_on_after(self.time_to_send()):
+            await self.link.send("POST", "/hook", fields, self.msg.body)
+            self.sent = self.elapsed()
+        if self.sent is None:
+            self.held = HoldCause.WINDOW_CLOSED
+
+    def time_to_send(self):
+        """Seconds in which the last byte has to be written."""
+        send_by = self.hosts.desk.send_by(self.msg.name, self.n)
+        return math.inf if send_by is None else max(0, send_by - self.hosts.clock()) / 1e9
+
+    async def hear_answer(self):
+        call, hosts = self.link.call, self.hosts
         while not call.settled:  # an answer that began and stands still is spoilt
             with trio.fail_after(hosts.house["drain_answer"] / 1e9 if call.begun else math.inf):
                 await self.link.hear()
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -5,6 +5,7 @@
 from helpers import MS, Relay, S, named
 
 from courseroute.decide import BOUND, CUT, LEAVE
+from courseroute.model.causes import HoldCause
 from courseroute.model.types import Leg
 
 
@@ -179,6 +180,23 @@
     assert (relay.relay.why_held(relay.now, "m1", 0) is None) == may
 
 
+# Guards against a keyed request being sent again outside its window because its connection came up late.
+@pytest.mark.parametrize("lane, before, late, held", [
+    ("keyed", "reset", 3 * S, None), ("keyed", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
+    ("keyed", "reset", 3850 * MS, HoldCause.WINDOW_CLOSED),    # it may be held up for 150 ms
+    ("keyed", "broken", 4 * S, None), ("zoned", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
+    ("retriable", "reset", 4 * S, None), ("once", "broken", 4 * S, None)])
+def test_a_repeat_whose_connection_comes_up_behind_its_window_does_not_leave(lane, before, late, held):
+    relay = Relay()
+    name, _ = relay.take(lane, key="k")
+    begun = relay.now
+    assert named(relay.back(name, before), "send")
+    assert relay.relay.why_held(begun + late, name, 1) == held
+    send_by = relay.relay.send_by(name, 1)
+    bound = before == "reset" and lane in ("keyed", "zoned")
+    assert send_by is not None and send_by <= begun + 4 * S - 150 * MS if bound else send_by is None
+
+
 def test_a_window_that_closes_while_a_message_waits_ends_it():
     relay = Relay()
     name, _ = relay.take("keyed")
