A call behind one that could not be written is known to the next life

What callers would see: a message that may not be repeated runs twice, after the folder failed for a moment (ENOSPC, EIO) and the relay was then killed.

Cause: `Desk.do_send` counts an attempt whose record could not be written (it is not sent, and ends unsent), so the next one has the next number. `Replay.feed` took a call's record only where its number was the count of those read before; behind the gap each was dropped, and the message came to the next life as never tried. The torture's model hid it: it took the unsent leg away, which the relay does not do.

Change: attempts are kept by number; one without a record was never sent, as a call's record is written before it leaves. The model of the torture keeps the unsent leg, as the relay does, and knows the calls by number.

--- a/courseroute/journal/replay.py
+++ b/courseroute/journal/replay.py
@@ -2,24 +2,38 @@
 
 Used by the desk at its start and by the tools, so that both read a folder alike.
 """
+
 from collections import OrderedDict
 
 from courseroute.journal.frames import BACK, CALL, OVER, OWED, TAKEN
 
+UNSENT = "unsent"
+
 
 class Kept:
-    """A message that is held: the fields of its record, its body, its legs as [host, sent at, ending]."""
-    __slots__ = ("told", "body", "legs")
+    """A message that is held: the fields of its record, its body, its attempts by number."""
+
+    __slots__ = ("told", "body", "attempts")
 
     def __init__(self, told, body):
-        self.told, self.body, self.legs = told, body, []
+        self.told, self.body, self.attempts = told, body, {}
+
+    @property
+    def legs(self):
+        """The attempts as [host, sent at, ending]. One with no record was not sent: that is written first."""
+        count = max(self.attempts, default=-1) + 1
+        return [self.attempts.get(n) or ["", 0, UNSENT] for n in range(count)]
+
+    def add_doubtful(self):
+        """An attempt that may have run, nobody knows when."""
+        self.attempts[max(self.attempts, default=-1) + 1] = ["", 0, None]
 
 
 class Replay:
     def __init__(self, most_ends=None):
         """`most_ends`: how many ends are remembered, the newest ones; None for all."""
         self.held, self.owed, self.ends, self.most_ends = {}, {}, OrderedDict(), most_ends
-        self.doubtful = set()       # held messages whose calls, or end, may stand in bytes that can't be read
+        self.doubtful = set()  # held messages whose attempts, or end, may stand in bytes that can't be read
 
     def damage(self):
         self.doubtful.update(self.held)
@@ -31,10 +45,10 @@
         kept = self.held.get(name)
         if kind == TAKEN and kept is None and name not in self.ends:
             self.held[name] = Kept(told, body)
-        elif kind == CALL and kept is not None and len(kept.legs) == told[1]:
-            kept.legs.append(list(told[2:]))
-        elif kind == BACK and kept is not None and told[1] < len(kept.legs):
-            kept.legs[told[1]][2] = told[2]
+        elif kind == CALL and kept is not None:
+            kept.attempts.setdefault(told[1], list(told[2:]))
+        elif kind == BACK and kept is not None and told[1] in kept.attempts:
+            kept.attempts[told[1]][2] = told[2]
         elif kind in (OWED, OVER):
             self.held.pop(name, None)
             self.owed.pop(name, None)
@@ -45,7 +59,7 @@
                 self.ends.popitem(last=False)
 
     def finish(self):
-        """No more records come: what is doubtful gets a leg that may have run, nobody knows when."""
+        """No more records come: what is doubtful gets an attempt that may have run."""
         for name in sorted(self.doubtful & self.held.keys()):
-            self.held[name].legs.append(["", 0, None])
+            self.held[name].add_doubtful()
         return self
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -66,7 +66,8 @@
 
 
 class Model:
-    """What was acknowledged, message by message; `doubt`: an act was cut off, so that either end is right."""
+    """What was acknowledged, message by message; `doubt`: an act was cut off, so that either end is right.
+    `held` has the numbers of the calls that left."""
 
     def __init__(self):
         self.held, self.owed, self.over, self.doubt, self.unsure = {}, {}, set(), set(), set()
@@ -86,11 +87,11 @@
             desk.hosts.__dict__["unsent"] = lambda *told: unsent.append(told)
             desk.do_send(name, "h", 0)
             if unsent:
-                desk.held[name].legs.pop()
+                desk.returned(name, count, "h", "unsent", 0, False, 0, None)
             elif len(desk.held[name].legs) > count:
-                self.held[name].append(None)
+                self.held[name].append(count)
         elif name in desk.held and what == "back" and self.held[name]:
-            desk.returned(name, len(self.held[name]) - 1, "h", NEVER_RAN, 0, False, 0, None)
+            desk.returned(name, self.held[name][-1], "h", NEVER_RAN, 0, False, 0, None)
         elif name in desk.held and what == "finish":
             desk.finish(desk.held[name], "delivered")
             self.ended(desk, name, None)
@@ -123,7 +124,9 @@
         for name, legs in self.held.items():
             if name not in surely:
                 assert name in desk.held, f"{name} was taken on and is lost"
-                assert len(desk.held[name].legs) >= len(legs), f"{name}: a call is forgotten"
+                known = [ending for _, _, ending in desk.held[name].legs]
+                sent = {n for n, ending in enumerate(known) if ending != "unsent"}
+                assert sent.issuperset(legs), f"{name}: a call is forgotten"
                 assert desk.held[name].body == (name.encode() * 4000)[:len(desk.held[name].body)]
         for name, state in self.owed.items():
             assert name in surely or desk.owed.get(name, (None,))[0] == state, f"{name}: its end is lost"
@@ -167,7 +170,8 @@
     left = disk.after()
     desk = desk_on(left)
     model.check(desk)
-    model.held = {name: [None] * len(msg.legs) for name, msg in desk.held.items()}
+    model.held = {name: [n for n, (_, _, ending) in enumerate(msg.legs) if ending != "unsent"]
+                  for name, msg in desk.held.items()}
     model.owed = {name: state for name, (state, _) in desk.owed.items()}
     model.over = {name for name in model.over | model.doubt if name not in desk.held
                   and name not in desk.owed}
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -202,6 +202,22 @@
         assert [fields[0] for _, fields, _ in again.read()] == wrote and not again.losses
 
 
+# Guards against a call that left being forgotten by the next life, so that it is made a second time.
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_a_call_that_left_behind_one_that_could_not_be_written_is_known_to_the_next_life(code):
+    disk, model = FaultyDisk(), torture.Model()
+    desk = torture.desk_on(disk)
+    model.act(desk, "take", "m", 200)
+    disk.fails = {disk.calls + n: code for n in (1, 2)}     # the record, and its taking back
+    model.act(desk, "send", "m", 200)
+    disk.fails = {}
+    model.act(desk, "send", "m", 200)
+    assert model.held == {"m": [1]}
+    again = torture.desk_on(disk.after())
+    model.check(again)
+    assert again.held["m"].legs[1][0] == "h" and again.dispatcher.taken["m"][1][2] is None
+
+
 # Damage, foreign files, other versions.
 
 
