Spans of real time outlast the process: the folder keeps the clock's offset, not the wall clock

What callers would see: a keyed request sent again outside its window when the wall clock was set back between two lives; messages given up early when it was set forward.

A step between two lives shifts every stored dispatch time, deadline and wait against the next life's clock.

Change: `run/clock.py`. The offset to the monotonic clock, which no step changes, is kept in the folder with the machine's boot id and used by all lives of that boot. Where the folder has none, or the machine was started anew, nothing tells how much time has passed: an attempt that may have run then counts as out of its window, and learned state is used only where it seems under a minute old. The log's line of recovery says which.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -39,7 +39,8 @@
     "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
     "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
     "read_within": 2 * S, "write_within": 2 * S, "list_within": 2 * S, "notice_within": S // 4,
-    "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2}
+    "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2,
+    "learned_for": FORGET}
 
 
 class Dispatcher(Agenda):
--- /dev/null
+++ b/courseroute/run/clock.py
@@ -0,0 +1,84 @@
+"""One clock for all spans of real time that outlasts the process: the wall clock may be stepped meanwhile.
+
+What a journal keeps of time are readings of this clock: nanoseconds that look like Unix time. They come from
+the monotonic clock, which no step changes and which runs on from one process to the next while the machine
+stays up, plus an offset that the folder keeps together with the machine's boot. A new offset is taken from
+the wall clock where the folder has none, or the machine was started anew; then nothing tells how much time
+has passed since.
+"""
+
+import contextlib
+import time
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+NAME, SPARE = "clock", "clock.new"
+BYTES = 512  # of a file on the disk, counted in whole sectors
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+
+
+class Kept(msgspec.Struct):
+    """The file's content: the offset to the monotonic clock of that boot, which stood at `monotonic_ns`."""
+
+    boot: str
+    offset_ns: int
+    monotonic_ns: int
+
+
+class Clock:
+    """`now()` in nanoseconds; `continues`: whether readings of earlier lives are of the same clock."""
+
+    def __init__(self, offset_ns, continues):
+        self.offset_ns, self.continues = offset_ns, continues
+
+    def now(self):
+        return time.monotonic_ns() + self.offset_ns
+
+
+def open_clock(disk, boot=None, syncs=False):
+    """The clock that the folder keeps; a new one where it keeps none of this boot. A folder that can't be
+    written costs the next life the clock, nothing else."""
+    boot = boot_id() if boot is None else boot
+    kept = read(disk)
+    if kept and boot and kept.boot == boot and kept.monotonic_ns <= time.monotonic_ns():
+        return Clock(kept.offset_ns, continues=True)
+    offset_ns = time.time_ns() - time.monotonic_ns()
+    with contextlib.suppress(OSError):
+        write(disk, Kept(boot, offset_ns, time.monotonic_ns()), syncs)
+    return Clock(offset_ns, continues=False)
+
+
+def boot_id():
+    """What tells this run of the machine from others, "" where nothing does."""
+    try:
+        return BOOT_ID.read_text().strip()
+    except OSError:
+        return ""
+
+
+def read(disk):
+    """The file's content, None where there is none, or no whole one."""
+    try:
+        check, _, data = disk.read(NAME).partition(b"\n")
+        if check.decode("latin-1") != xxhash.xxh64_hexdigest(data):
+            return None
+        return msgspec.json.decode(data, type=Kept)
+    except (OSError, msgspec.DecodeError):
+        return None
+
+
+def write(disk, kept, syncs):
+    """Written beside and renamed, so that it is never half written."""
+    data = msgspec.json.encode(kept)
+    left = memoryview(xxhash.xxh64_hexdigest(data).encode() + b"\n" + data)
+    handle = disk.create(SPARE)
+    try:
+        while left:
+            left = left[disk.write(handle, left) :]
+        if syncs:
+            disk.sync(handle)
+    finally:
+        disk.close(handle)
+    disk.rename(SPARE, NAME)
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -14,6 +14,8 @@
 from courseroute.journal.store import Journal
 from courseroute.journal.syncer import Syncer
 from courseroute.run import config
+from courseroute.run.clock import BYTES as CLOCK_BYTES
+from courseroute.run.clock import open_clock
 from courseroute.run.logbook import say, set_log
 from courseroute.state.desk import Desk
 from courseroute.state.pool import Pool
@@ -40,8 +42,6 @@
 class Relay:
     def __init__(self, told):
         self.told, self.phase = told, Phase.STARTING
-        offset = time.time_ns() - time.monotonic_ns()       # Unix time that never steps back
-        self.clock = lambda: time.monotonic_ns() + offset
         self.alarm_at, self.alarm_set, self.left = None, trio.Event(), trio.Event()
 
     def enter(self, phase, **figures):
@@ -53,8 +53,11 @@
         kept_list = int(told["disk"] * house["kept_list"]) if told["keeps_list"] else 0
         syncs = told["sync"] != "off"
         self.lock = lock(told["state"], LAST_LIFE)
+        clock = open_clock(Disk(told["state"]), syncs=syncs)
+        self.clock = clock.now
         learned = int(told["disk"] * house["learned"])
-        log = Journal(Disk(told["state"]), told["disk"] - 2 * (kept_list + learned), told["name"], syncs)
+        room = told["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
+        log = Journal(Disk(told["state"]), room, told["name"], syncs)
         self.roster = Roster(told["state"], kept_list) if kept_list else None
         most_calls = int(told["sockets"] * house["host_connections"])
         terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
@@ -73,10 +76,10 @@
             watch = Watch(terms["listed_rates"], None)
             desk.discovery = Discovery(desk, desk.hosts, house, told["discovery"], watch, say)
             desk.alarm, desk.leave = self.set_alarm, self.left.set
-            self.enter(Phase.RECOVERING)
+            self.enter(Phase.RECOVERING, clock="kept" if clock.continues else "new")
             desk.tell("start")
             self.learn_known(watch)
-            desk.recover()
+            desk.recover(same_clock=clock.continues)
             most, refusing = (
                 int(told["sockets"] * house[name]) for name in ("client_connections", "refusing"))
             half_read = int(told["memory"] * house["half_read"])
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -331,8 +331,10 @@
             return msg.records() if msg.promised else []
         return [self.log.over(name, self.ends[name])] if name in self.ends else []
 
-    def recover(self):
-        """Reads the log back: what is owed its end is told to the module, which decides on each."""
+    def recover(self, same_clock=True):
+        """Reads the log back: what is owed its end is told to the module, which decides on each. Without the
+        clock of the earlier lives nobody knows how long ago an attempt was: its window counts as over, and
+        what was learned is used only where it seems fresh."""
         replay = Replay(self.house["ends"])
         for kind, told, body in self.log.read():
             if kind == DAMAGE:
@@ -347,13 +349,15 @@
         for name, kept in replay.held.items():
             msg = self.held[name] = Held(name, *kept.told[1:4], kept.body, *kept.told[4:])
             msg.promised, msg.legs = True, kept.legs
+            if not same_clock:
+                msg.legs = [[host, 0, ending] for host, _, ending in msg.legs]
             self.count(self.measure(msg))
         self.count(sum(NOTICE + len(name) for name in self.owed))
         for name, (state, after) in self.owed.items():
             self.notices.owe(name, state, after)
         if self.learned is not None:
             told, at = self.learned.read()
-            if told:
+            if told and (same_clock or 0 <= self.clock() - at <= self.house["learned_for"]):
                 self.tell("recall", told, at)
         for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
             self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -57,3 +57,29 @@
         proxy.accept_again()
     assert until(lambda: town.notices or len(town.calls) > 1)
     assert_not_repeated(town)
+
+
+# Guards against a keyed request being sent again outside its window after the wall clock was set back.
+@pytest.mark.parametrize("step_s", [-3600, -2])
+def test_a_window_is_over_for_the_next_life_when_the_wall_clock_was_set_back(town, step_s):
+    town.plan = lambda call: "hang" if call["n"] == 0 else (200, {})
+    town.start()
+    assert town.hand_in("a", "order") == 202
+    assert until(lambda: town.calls)
+    town.end()
+    wait_until_window_is_over(town)
+    town.start(wall_clock_step_s=step_s)
+    assert until(lambda: town.notices or len(town.calls) > 1)
+    assert_not_repeated(town)
+
+
+@pytest.mark.parametrize("step_s", [3600, -3600])
+def test_a_message_is_sent_by_the_next_life_when_the_wall_clock_was_stepped(town, step_s):
+    town.plan = lambda call: (429, {"Wait-Ms": "300"}) if call["n"] == 0 else (200, {})
+    town.start()
+    assert town.hand_in("a", "notice") == 202
+    assert until(lambda: town.calls)
+    town.end()
+    town.start(wall_clock_step_s=step_s)
+    assert until(lambda: len(town.calls) == 2 or town.notices)
+    assert not town.notices and len(town.calls) == 2
