An attempt that was given up never arrives later: bytes on their way are dropped with it

What callers would see: a keyed request reaching its server outside its window, or a request reaching it after its client was told that it failed, where a connection stands still for a while (a partition, a full buffer).

Cause: `Link.close` closes in order, and the system then goes on to deliver what was written for as long as it takes. A repeat that was written in time, with its last bytes unacknowledged when its window is over, was waited for until its time-out, so that they could arrive in between.

Change: a connection that is closed with unacknowledged bytes (TIOCOUTQ) is reset, which drops them. A repeat whose bytes are unacknowledged when its window is over is given up, as one that may have run; one that was acknowledged is waited for as before.

Both tests failed before: "sent again 0.810 s after the first" (window 0.8 s), and a request that arrived after its failure was told. 588 tests pass.

--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -132,8 +132,13 @@
         if self.held:
             return
         await self.send()
-        if self.sent is not None:
-            await self.hear_answer()
+        if self.sent is None:
+            return
+        with trio.move_on_after(self.time_to_send()):
+            return await self.hear_answer()
+        if self.link.unacknowledged():  # they would arrive when their time is over
+            raise trio.BrokenResourceError
+        await self.hear_answer()
 
     async def send(self):
         """Writes the request, or leaves it unfinished and the attempt held when the time to do so is over."""
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -1,9 +1,16 @@
 """A connection that this relay opened, its machine beside it: shared by the drivers that call out."""
+import contextlib
+import fcntl
+import struct
+import sys
+import termios
+
 import trio
 
 from courseroute.wire.http import Call, Refused
 
 LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)        # SO_LINGER: on, for no time
 
 
 class Link:
@@ -33,7 +40,20 @@
         while not self.call.done:
             await self.hear()
 
+    def unacknowledged(self):
+        """Bytes written that the peer's system has not acknowledged; 0 where nobody can tell."""
+        try:
+            count = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        except (OSError, ValueError):       # ValueError: it is closed
+            return 0
+        return int.from_bytes(count, sys.byteorder)
+
     def close(self):
+        """Ends the connection. Bytes that are still on their way are dropped: the system would go on to
+        deliver them, and a request that was given up would reach its host later."""
+        if self.unacknowledged():
+            with contextlib.suppress(OSError):
+                self.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
         self.socket.close()
 
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -7,6 +7,7 @@
 from proxy import Proxy
 
 WINDOW_S = 0.8
+LARGE_BODY = b"x" * 9_000  # more than a proxy takes in unread, less than the sender's system does
 
 
 @pytest.fixture
@@ -20,10 +21,10 @@
 
 @pytest.fixture
 def proxies(town):
-    """One before each host; the list of endpoints names the proxies."""
+    """One before each host, with little room for unread bytes; the list of endpoints names the proxies."""
     made = []
     for places in town.where.values():
-        made.append(Proxy(places[0]))
+        made.append(Proxy(places[0], receive_buffer=4096))
         places[:] = [made[-1].address]
     yield made
     for proxy in made:
@@ -59,6 +60,37 @@
     assert_not_repeated(town)
 
 
+# Guards against a keyed request reaching its server outside its window as its last bytes were on the way.
+def test_a_repeat_whose_last_bytes_have_not_arrived_when_its_window_is_over_never_arrives(town, proxies):
+    def lose_first_answer(call):
+        if call["n"]:
+            return 200, {}
+        for proxy in proxies:
+            proxy.hold_bytes()
+        return "drop"
+
+    town.plan = lose_first_answer
+    town.start()
+    assert town.hand_in("a", "order", LARGE_BODY) == 202
+    wait_until_window_is_over(town)
+    for proxy in proxies:
+        proxy.pass_bytes()
+    assert until(lambda: town.notices or len(town.calls) > 1)
+    assert_not_repeated(town)
+
+
+# Guards against a request reaching its server after the relay gave it up and told its client so.
+def test_an_attempt_given_up_before_its_bytes_arrived_never_arrives(town, proxies):
+    for proxy in proxies:
+        proxy.hold_bytes()
+    town.start()
+    assert town.hand_in("a", "once", LARGE_BODY) == 202
+    assert until(lambda: town.notices == [{"id": "a", "state": "failed"}])
+    for proxy in proxies:
+        proxy.pass_bytes()
+    assert not until(lambda: town.calls, 0.5)
+
+
 # Guards against a keyed request being sent again outside its window after the wall clock was set back.
 @pytest.mark.parametrize("step_s", [-3600, -2])
 def test_a_window_is_over_for_the_next_life_when_the_wall_clock_was_set_back(town, step_s):
