A kept connection is looked at after the sync that its attempt awaits, not before

Cause: `Attempt.go` took a connection that was quiet from the pool and awaited the sync of the attempt's record before it wrote; a close, or bytes that belong to no answer, that came in between were not seen.

Change: the sync is awaited first. Between the look at a kept connection, the question whether the attempt may be sent and the write nothing is awaited any more.

--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -120,13 +120,13 @@
 
     async def go(self):
         hosts = self.hosts
+        await hosts.desk.settled()
         self.link, self.idle = hosts.pool.idle(self.host)
         self.link = self.link or await self.connect()
         if self.link is None:
             self.held = HoldCause.NO_CONNECTION
             return
         self.connected = self.elapsed()
-        await hosts.desk.settled()
         # Asked last, with nothing awaited before the write: all that was waited for took its time.
         self.held = hosts.desk.why_held(self.msg.name, self.n)
         if self.held:
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,75 @@
+"""The driver of attempts, with a desk and a host of the test's own."""
+
+import contextlib
+import time
+from types import SimpleNamespace
+
+import trio
+
+from courseroute.decide import HOUSE
+from courseroute.state.figures import Figures
+from courseroute.state.pool import Pool
+from courseroute.wire.hosts import Hosts
+from courseroute.wire.link import Link
+
+SECOND_NS = 10**9
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Desk:
+    """Allows every attempt, keeps what came back; `when_settled` is what happens while a sync is awaited."""
+
+    def __init__(self, when_settled):
+        self.when_settled = when_settled
+        self.figures, self.endings, self.over = Figures(), [], trio.Event()
+
+    async def settled(self):
+        await self.when_settled()
+
+    def why_held(self, name, n):
+        return None
+
+    def send_by(self, name, n):
+        return None
+
+    def first_may_have_run(self, name, n):
+        return None
+
+    def returned(self, name, n, host, ending, *told):
+        self.endings.append(ending)
+        self.over.set()
+
+
+# Guards against a request being written to a connection that its host closed while a sync was awaited.
+def test_a_kept_connection_that_ends_while_a_sync_is_awaited_is_not_used():
+    async def play():
+        accepted = []
+
+        async def answer(stream):
+            accepted.append(stream)
+            with contextlib.suppress(trio.ClosedResourceError):
+                if await stream.receive_some():
+                    await stream.send_all(ANSWER)
+
+        async def close_kept():
+            await accepted[0].aclose()
+            await trio.sleep(0.05)
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer, 0)
+            place = ("127.0.0.1", listeners[0].socket.getsockname()[1])
+            pool = Pool(8, SECOND_NS * 9, time.monotonic_ns, lambda: SECOND_NS * 9)
+            desk = Desk(close_kept)
+            hosts = Hosts(nursery, desk, pool, HOUSE, {}, time.monotonic_ns, lambda *told, **more: None)
+            hosts.where["h"] = place
+            assert pool.enter()
+            pool.keep("h", await Link(HOUSE["head"], HOUSE["body"], keeps=False).dial(place))
+            while not accepted:
+                await trio.sleep(0.01)
+            message = SimpleNamespace(name="a", body=b"x", mark="")
+            hosts.call(message, 0, "h", time.monotonic_ns() + 5 * SECOND_NS)
+            await desk.over.wait()
+            nursery.cancel_scope.cancel()
+        return desk.endings
+
+    assert trio.run(play) == ["delivered"]
