A signal that comes while the relay starts ends it in order, or is heeded once it serves

Python's default ends the process until trio's receiver stands, some 0.3 s later; SIGHUP was ignored only from behind the imports on, and one that came after the configuration was read was lost, so that the relay kept to a directory that had moved.

Before the interpreter runs its first line the system's defaults hold.

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -13,7 +13,7 @@
 from courseroute.journal.lock import Held, lock
 from courseroute.journal.store import Journal
 from courseroute.journal.syncer import Syncer
-from courseroute.run import config
+from courseroute.run import config, startup_signals
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
 from courseroute.run.logbook import say, set_log
@@ -138,6 +138,8 @@
     async def heed_signals(self, task_status):
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             task_status.started()
+            if startup_signals.hangup_came:
+                self.reread()
             async for number in signals:
                 if number == signal.SIGHUP:
                     self.reread()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -99,12 +99,13 @@
                   "settings": self.settings, "limits": self.limits}
         (self.folder / "config.json").write_text(json.dumps(config))
 
-    def start(self, wait=True, wall_clock_step_s=0):
-        """`wall_clock_step_s`: how far the process's wall clock is off from the one of this machine."""
+    def start(self, wait=True, **faults):
+        """`faults`: variables that tests/shims/sitecustomize.py heeds, as wall_clock_step_s=-2."""
         self.configure()
         env = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
-        if wall_clock_step_s:
-            env |= {"WALL_CLOCK_STEP_S": str(wall_clock_step_s), "PYTHONPATH": str(ROOT / "tests" / "shims")}
+        if faults:
+            env |= {name.upper(): str(value) for name, value in faults.items()}
+            env["PYTHONPATH"] = str(ROOT / "tests" / "shims")
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.log = open(self.folder / "out", "ab")
         self.relay = subprocess.Popen(["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -171,6 +171,15 @@
     assert len(town.sent("b")) == calls
 
 
+# Guards against a signal that ends the relay out of order because it comes while the relay starts.
+def test_a_signal_while_the_relay_starts_ends_it_in_order_or_rereads_its_configuration(town):
+    town.start(wait=False, signal_at_import=f"{signal.SIGTERM.value} h11")
+    assert town.relay.wait(10) == 0
+    town.start(signal_at_import=f"{signal.SIGHUP.value} h11")
+    assert until(lambda: any(event["event"] == "configuration read" for event in town.events()))
+    assert town.hand_in("a") == 202
+
+
 READY = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
 HEAD = b"POST /notice HTTP/1.1\r\nHost: r\r\nX-Request-Id: z\r\nX-Deadline: 900m\r\nEnvelope: dest=7\r\n"
 
