An end at its deadline is told at once, though its record cannot be written

Change: an end that cannot be written is told at once where that time has come already.

The new test failed before (no notice) and passes now.

--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -171,10 +171,15 @@
             self.fault(cause)
             return False
 
+    def is_last_call(self, deadline):
+        """Whether an end that is not written is told all the same: it is due, and a next life, which does not
+        know it, would send the message no more."""
+        return self.clock() >= deadline - self.house["sweep"]
+
     def write_late(self):
         """Ends that could not be written when they came: without them a next life would send once more."""
         for name, deadline in list(self.withheld.items()):
-            if self.clock() >= deadline - self.house["sweep"]:      # a next life would send it no more
+            if self.is_last_call(deadline):
                 self.tell_platform(name)
         for name, kind in list(self.unwritten.items()):
             parts = self.live_records(name) if kind == records.OWED else [
@@ -276,7 +281,7 @@
         self.count(NOTICE + len(name))
         self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
         self.withheld[name] = msg.deadline
-        if self.note(record(records.OWED, [name, state, after])):
+        if self.note(record(records.OWED, [name, state, after])) or self.is_last_call(msg.deadline):
             self.tell_platform(name)
 
     def tell_platform(self, name):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -162,6 +162,20 @@
     assert [told[0] for kind, told, _ in again.read() if kind == OWED] == ["a", "b"]
 
 
+# Guards against a final answer that is up to a sweep late because its record could not be written.
+def test_an_end_at_its_deadline_is_told_at_once_though_it_cannot_be_written():
+    disk, now = FaultyDisk(), [5 * MS]
+    journal, say = Journal(disk, 1_000_000), (lambda event, **told: None)
+    desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10 ** 8, lambda: now[0], say)
+    desk.notices, desk.ready = Notices(desk, HOUSE, None, None), True
+    desk.recover()
+    assert desk.take(TOLD, False) == (202, 0)
+    disk.room = disk.used()
+    now[0] += TOLD["left"] - 10 * MS
+    desk.end("a", "returned", 0, CloseCause.DEADLINE)
+    assert list(desk.notices.lines) == ["a"] and desk.unwritten
+
+
 @pytest.mark.parametrize("last_byte", [True, False])
 def test_a_connection_given_up_with_its_request_just_read_is_answered(last_byte):
     """A task that has read yields before it goes on: others may then find its connection silent."""
