The emulator's time to stop runs only while the relay runs

Traced in the ledger: the relay was stopped (SIGSTOP, a drawn pause) from 0.34 s before its SIGTERM to 0.93 s behind it, logged `leaving` as it went on and would have ended 3.0 s after that.

Change: the 3.7 s count the time in which the process was not stopped; for a relay that is not paused they are as strict as before. A pause also wakes the process that it stopped, not one that was started meanwhile.

--- a/courseroute/town/relays.py
+++ b/courseroute/town/relays.py
@@ -28,6 +28,7 @@
         self.state.mkdir(parents=True)
         self.config, self.process, self.lives = self.folder / "relay.toml", None, 0
         self.wanted = False         # it is meant to run: an end is a crash
+        self.paused = False         # stopped from outside for a while
         self.most = {"memory_kb": 0, "descriptors": 0, "disk_kb": 0}
         self.cpu = self.life_cpu = 0.0      # seconds, of the lives that ended and of this one
 
@@ -163,9 +164,12 @@
         relay.process.send_signal(signal.SIGTERM)
         await trio.sleep(0.3)
         self.front(relay.number, False)     # a planned restart is known to the front soon
-        with trio.move_on_after(STOP_WITHIN - 0.3):
-            while relay.process.poll() is None:
-                await trio.sleep(0.02)
+        left = STOP_WITHIN - 0.3
+        while relay.process.poll() is None and left > 0:
+            looked = trio.current_time()
+            await trio.sleep(0.02)
+            if not relay.paused:        # one that is stopped from outside can't heed the signal
+                left -= trio.current_time() - looked
         if relay.process.poll() is None:
             relay.process.kill()
             self.tell("relay", self.clock(), relay=relay.name, now="crashed",
@@ -177,10 +181,12 @@
     async def pause(self, relay, ns):
         if not relay.wanted:
             return
-        relay.process.send_signal(signal.SIGSTOP)
+        process, relay.paused = relay.process, True
+        process.send_signal(signal.SIGSTOP)
         self.tell("relay", self.clock(), relay=relay.name, now="paused")
         await trio.sleep(ns / 1e9)
-        relay.process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGCONT)
+        relay.paused = False
         self.tell("relay", self.clock(), relay=relay.name, now="goes-on")
 
     async def fill_disk(self, relay, ns):
