--- a/courseroute/town/hosts.py
+++ b/courseroute/town/hosts.py
@@ -182,7 +182,9 @@
 
     async def still_there(self, sock, ns):
         """Waits so long (None: for ever); False once the relay ended the connection: it sends one call at a
-        time, so whatever can be read is its end."""
+        time, so whatever can be read is its end. ClosedResourceError where a fault reset it meanwhile."""
+        if sock.fileno() < 0:
+            raise trio.ClosedResourceError
         with trio.move_on_after(1e9 if ns is None else ns / 1e9):
             await trio.lowlevel.wait_readable(sock)
             return False
--- a/courseroute/town/play.py
+++ b/courseroute/town/play.py
@@ -49,6 +49,7 @@
         self.places = destinations(day)
         self.judge.apart_dst = {place.number for place in self.places if day.kinds[place.form.kind].apart}
         self.workers, self.queues, self.start, self.cut_off = [], [], 0, False
+        self.ending = False         # the workers were told to end
 
     # The ledger.
 
@@ -159,8 +160,11 @@
         async for rows in lines:
             for row in rows:
                 self.take(row)
+        if not self.ending:
+            raise RuntimeError("a worker process of the town ended before its day; its trace is above")
 
     async def end_workers(self):
+        self.ending = True
         self.to_workers({"do": "end"})
         with trio.move_on_after(3):
             for process in self.workers:
