--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -5,6 +5,7 @@
 So many MB of messages are held for good while others are taken on, called and end, with the writes of each
 version's desk. A stall is the time of one message's writes, or of one slice of compaction.
 """
+
 import json
 import sys
 import tempfile
@@ -38,6 +39,7 @@
         def counted(data):
             self.compaction_bytes += len(data)
             put(data)
+
         self.log.put = counted
 
     def read(self):
@@ -87,7 +89,7 @@
 
 
 def fields(name, i):
-    return [name, "7", "notice", 10 ** 18, "k" * 32, None, "c", False, i]
+    return [name, "7", "notice", 10**18, "k" * 32, None, "c", False, i]
 
 
 def measure(kind, live_mb, messages, most):
@@ -106,11 +108,11 @@
             parts = [store.make(frames.TAKEN, fields(name, i), BODY)]
             taken += len(parts[0])
             store.live[name] = parts
-            store.call(parts, store.make(frames.CALL, [name, 0, "host", 10 ** 18, None]))
+            store.call(parts, store.make(frames.CALL, [name, 0, "host", 10**18, None]))
             del store.live[name]
             store.log.write(store.over(name))
             stalls.append(time.perf_counter() - start)
-            if i % 4 == 0:      # between other work, as the relay does it
+            if i % 4 == 0:  # between other work, as the relay does it
                 start = time.perf_counter()
                 store.idle()
                 stalls.append(time.perf_counter() - start)
@@ -122,12 +124,18 @@
         records = again.read()
         recovery = time.perf_counter() - start
         again.log.close()
-        return {"store": kind.name, "live_mb": live_mb, "disk_mb": round(most / 1e6, 1),
-                "used_mb": round(disk / 1e6, 1), "messages_s": round(messages / took),
-                "longest_ms": round(max(stalls) * 1e3, 2),
-                "p999_ms": round(float(np.quantile(stalls, 0.999)) * 1e3, 3),
-                "amplification": round((store.written() - before) / taken, 2),
-                "recovery_ms": round(recovery * 1e3), "records": records}
+        return {
+            "store": kind.name,
+            "live_mb": live_mb,
+            "disk_mb": round(most / 1e6, 1),
+            "used_mb": round(disk / 1e6, 1),
+            "messages_s": round(messages / took),
+            "longest_ms": round(max(stalls) * 1e3, 2),
+            "p999_ms": round(float(np.quantile(stalls, 0.999)) * 1e3, 3),
+            "amplification": round((store.written() - before) / taken, 2),
+            "recovery_ms": round(recovery * 1e3),
+            "records": records,
+        }
 
 
 @click.command()
@@ -139,14 +147,24 @@
     turn, so that what else the machine does strikes all alike. Medians, and the pace against that of the
     single file in the same turn."""
     for mb in live_mb:
-        turns = [[measure(kind, mb, messages, int(mb * 1e6 / share))
-                  for kind, share in ((Old, 0.4), (New, 0.4), (New, 0.75))] for _ in range(repeats)]
+        turns = [
+            [
+                measure(kind, mb, messages, int(mb * 1e6 / share))
+                for kind, share in ((Old, 0.4), (New, 0.4), (New, 0.75))
+            ]
+            for _ in range(repeats)
+        ]
         for column in range(3):
             rows = [turn[column] for turn in turns]
-            told = {name: rows[0][name] if isinstance(rows[0][name], str) else round(
-                float(np.median([row[name] for row in rows])), 3) for name in rows[0]}
-            told["pace"] = round(float(np.median([
-                turn[column]["messages_s"] / turn[0]["messages_s"] for turn in turns])), 2)
+            told = {
+                name: rows[0][name]
+                if isinstance(rows[0][name], str)
+                else round(float(np.median([row[name] for row in rows])), 3)
+                for name in rows[0]
+            }
+            told["pace"] = round(
+                float(np.median([turn[column]["messages_s"] / turn[0]["messages_s"] for turn in turns])), 2
+            )
             print(json.dumps(told), flush=True)
 
 
--- a/benchmarks/single_file.py
+++ b/benchmarks/single_file.py
@@ -4,6 +4,7 @@
 there is one. It is written whole before anything it tells of is done. A torn or foreign end is cut off when
 the log is read. Compaction writes the live records to a second file and puts it in the first one's place.
 """
+
 import os
 import struct
 import zlib
@@ -29,12 +30,12 @@
     at, view = 0, memoryview(data)
     while at + HEAD.size <= len(data):
         size, check, kind = HEAD.unpack_from(data, at)
-        part = view[at + HEAD.size:at + HEAD.size + size]
+        part = view[at + HEAD.size : at + HEAD.size + size]
         if len(part) < size or zlib.crc32(part, zlib.crc32(kind)) != check:
             return
         line = data.index(b"\n", at + HEAD.size)
         at += HEAD.size + size
-        yield at, kind, orjson.loads(data[at - size:line]), bytes(view[line + 1:at])
+        yield at, kind, orjson.loads(data[at - size : line]), bytes(view[line + 1 : at])
 
 
 class Log:
@@ -42,7 +43,7 @@
         self.path, self.spare = os.path.join(folder, "log"), os.path.join(folder, "log.new")
         self.most_live, self.most_log = int(most * live_share), int(most * log_share)
         self.file, self.size, self.live = None, 0, 0
-        self.alive = None       # a method that yields the records of all that is live
+        self.alive = None  # a method that yields the records of all that is live
         self.compacted = 0
 
     def read(self):
@@ -73,7 +74,7 @@
         start, view = self.size, memoryview(data)
         try:
             while view:
-                view = view[os.write(self.file, view):]
+                view = view[os.write(self.file, view) :]
         except OSError as cause:
             self.cut(start)
             raise Full(str(cause)) from None
--- a/benchmarks/syncs.py
+++ b/benchmarks/syncs.py
@@ -1,7 +1,8 @@
 """Messages a second through the journal with each kind of sync, many at a time. On this machine's disk.
 
-    python benchmarks/syncs.py [--messages 4000] [--at-once 64]
+python benchmarks/syncs.py [--messages 4000] [--at-once 64]
 """
+
 import sys
 import tempfile
 import time
@@ -34,6 +35,7 @@
                 journal.write(frames.record(frames.CALL, [f"m{i}", 0, "h", 1, None]))
                 await syncer.settled()
                 journal.write(journal.over(f"m{i}", "delivered"))
+
         begun = time.perf_counter()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(syncer.serve)
--- a/courseroute/adapter/__main__.py
+++ b/courseroute/adapter/__main__.py
@@ -1,4 +1,5 @@
 """Reads the simulator's wire on standard input and answers on standard output."""
+
 import sys
 
 from courseroute.adapter.wire import serve
--- a/courseroute/adapter/wire.py
+++ b/courseroute/adapter/wire.py
@@ -1,4 +1,5 @@
 """The simulator's wire: decodes events into calls of a Dispatcher and encodes what it returns."""
+
 import re
 import traceback
 
@@ -7,8 +8,14 @@
 
 US = 1000
 ENDINGS = {
-    "delivered": "delivered", "app_error": "error", "shed": "full", "expired": "timeout",
-    "dial_failed": "unreachable", "dropped": "reset", "revoked": "cancelled", "unused": "unsent",
+    "delivered": "delivered",
+    "app_error": "error",
+    "shed": "full",
+    "expired": "timeout",
+    "dial_failed": "unreachable",
+    "dropped": "reset",
+    "revoked": "cancelled",
+    "unused": "unsent",
 }
 STATES = {"0": "draining", "1": "ready", "2": "gone"}
 SCOPES = {"0": "changes", "1": "full", "2": "saved", "3": "failed"}
@@ -50,8 +57,14 @@
 
 def entry_of(found, listed_rates):
     rate = float(found["power-hint"]) if listed_rates and found.get("power-hint") else None
-    return (found["host"], STATES.get(found.get("state", "1"), "ready"), found.get("area", ""), rate,
-            found.get("type", ""), found.get("cell", ""))
+    return (
+        found["host"],
+        STATES.get(found.get("state", "1"), "ready"),
+        found.get("area", ""),
+        rate,
+        found.get("type", ""),
+        found.get("cell", ""),
+    )
 
 
 def encode(who, action, now):
@@ -79,7 +92,7 @@
 class Wire:
     def __init__(self, errors):
         self.errors = errors
-        self.relays = {}        # who -> (Dispatcher, rates are listed)
+        self.relays = {}  # who -> (Dispatcher, rates are listed)
         self.sheets = {}
         self.reset()
 
@@ -141,17 +154,34 @@
         elif tag == "FIRED":
             self.tell(who, "wake")
         elif tag == "INBOUND":
-            self.tell(who, "take", need(found, "handle"), found.get("destination", ""), found.get("lane", ""),
-                      need(found, "client-deadline", int) * US, found.get("entity"), found.get("user-group"),
-                      truth(found.get("is-retry", "0")))
+            self.tell(
+                who,
+                "take",
+                need(found, "handle"),
+                found.get("destination", ""),
+                found.get("lane", ""),
+                need(found, "client-deadline", int) * US,
+                found.get("entity"),
+                found.get("user-group"),
+                truth(found.get("is-retry", "0")),
+            )
         elif tag == "DROPPED":
             self.tell(who, "withdraw", need(found, "handle"))
         elif tag == "CLOSED_ATTEMPT":
             ending = ENDINGS.get(need(found, "ending"), "reset")
             wait = int(found.get("detail") or 0) * 1000 * US if ending == "full" else 0
-            self.tell(who, "outcome", need(found, "handle"), need(found, "n", int), need(found, "host"),
-                      ending, int(found.get("delay-seen") or 0) * US, wait, report_of(found.get("usage")),
-                      truth(found.get("over", "0")))
+            self.tell(
+                who,
+                "outcome",
+                need(found, "handle"),
+                need(found, "n", int),
+                need(found, "host"),
+                ending,
+                int(found.get("delay-seen") or 0) * US,
+                wait,
+                report_of(found.get("usage")),
+                truth(found.get("over", "0")),
+            )
         else:
             scope = SCOPES.get(need(found, "scope"), "failed")
             listed = self.relays[who][1]
--- a/courseroute/checked.py
+++ b/courseroute/checked.py
@@ -4,6 +4,7 @@
 number and a unit; `span` gives their whole nanoseconds. A file's form is a Struct of Structs, lists, maps
 with text keys and plain values; a Struct may have a `faults` method that names what no type can say.
 """
+
 import difflib
 import re
 import tomllib
@@ -13,9 +14,9 @@
 
 NS = {"ns": 1, "us": 1000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 FORM = re.compile(r"(\d{1,18}(?:\.\d{1,9})?)(ns|us|ms|s|m|h)")
-SPAN_ALLOWED = "a number and a unit (ns, us, ms, s, m, h), as \"250ms\""
+SPAN_ALLOWED = 'a number and a unit (ns, us, ms, s, m, h), as "250ms"'
 Span = Annotated[str, msgspec.Meta(pattern=f"^{FORM.pattern}$", description=SPAN_ALLOWED)]
-PLACE_ALLOWED = "an address and a port, as \"127.0.0.1:8080\""
+PLACE_ALLOWED = 'an address and a port, as "127.0.0.1:8080"'
 Place = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$", description=PLACE_ALLOWED)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -27,7 +28,7 @@
 
 
 class Mistake(NamedTuple):
-    place: str          # as lanes.notice.target or faults[2].kind
+    place: str  # as lanes.notice.target or faults[2].kind
     found: str
     allowed: str
 
@@ -53,8 +54,11 @@
 
 
 def span_text(ns):
-    return next(f"{ns // size}{unit}" for unit, size in reversed(NS.items()) if ns % size == 0 and
-                (ns >= size or unit == "ns"))
+    return next(
+        f"{ns // size}{unit}"
+        for unit, size in reversed(NS.items())
+        if ns % size == 0 and (ns >= size or unit == "ns")
+    )
 
 
 def read(path):
@@ -85,10 +89,9 @@
         return check_form(told, kind, place, mistakes, strict)
     if get_origin(kind) is dict and wanted(told, dict, place, mistakes):
         part = get_args(kind)[1]
-        return {key: check(value, part, joined(place, key), mistakes, strict)
-                for key, value in told.items()}
+        return {key: check(value, part, joined(place, key), mistakes, strict) for key, value in told.items()}
     if get_origin(kind) is list and wanted(told, list, place, mistakes):
-        part, = get_args(kind)
+        (part,) = get_args(kind)
         return [check(value, part, f"{place}[{at}]", mistakes, strict) for at, value in enumerate(told)]
     if get_origin(kind) in (dict, list):
         return None
@@ -117,8 +120,13 @@
         else:
             near = difflib.get_close_matches(name, fields, 1)
             meant = f"{near[0]} (meant?), " if near else ""
-            mistakes.append(Mistake(joined(place, name), "a key that does not exist",
-                                    meant + ", ".join(key for key in fields if key not in near)))
+            mistakes.append(
+                Mistake(
+                    joined(place, name),
+                    "a key that does not exist",
+                    meant + ", ".join(key for key in fields if key not in near),
+                )
+            )
     for name, field in fields.items():
         if field.required and name not in told:
             allowed = allowed_by(bare(field.type)[1], "a value")
@@ -171,5 +179,8 @@
             yield from keys(kind, here, maps)
         else:
             default = field.default if field.default is not msgspec.NODEFAULT else None
-            yield here, allowed_by(described, getattr(kind, "__name__", str(kind))), (
-                "required" if field.required else default)
+            yield (
+                here,
+                allowed_by(described, getattr(kind, "__name__", str(kind))),
+                ("required" if field.required else default),
+            )
--- a/courseroute/command/show.py
+++ b/courseroute/command/show.py
@@ -1,4 +1,5 @@
 """What people see: tables by rich on a terminal, the same as plain text where the output is piped."""
+
 import contextlib
 import sys
 
@@ -21,8 +22,14 @@
 
 
 def ends_row(name, row):
-    return [name, *(row[end] for end in ENDS), row["calls_per_message"], row["refused"], row["p50_ms"],
-            row["p99_ms"]]
+    return [
+        name,
+        *(row[end] for end in ENDS),
+        row["calls_per_message"],
+        row["refused"],
+        row["p50_ms"],
+        row["p99_ms"],
+    ]
 
 
 HEAD = [*ENDS, "calls/msg", "refused", "p50 ms", "p99 ms"]
@@ -30,12 +37,27 @@
 
 def day(name, told):
     """One day's figures."""
-    OUT.print(table(f"{name}: {told['about']}", ["destination", *HEAD], [
-        *(ends_row(dst, row) for dst, row in told["destinations"].items()), ends_row("all", told["all"])]))
+    OUT.print(
+        table(
+            f"{name}: {told['about']}",
+            ["destination", *HEAD],
+            [
+                *(ends_row(dst, row) for dst, row in told["destinations"].items()),
+                ends_row("all", told["all"]),
+            ],
+        )
+    )
     OUT.print(table("Lanes", ["lane", *HEAD], [ends_row(lane, row) for lane, row in told["lanes"].items()]))
-    OUT.print(table("Relays", ["relay", "lives", "CPU s", "memory kB", "descriptors", "disk kB"], [
-        [relay, row["lives"], row["cpu_s"], row["memory_kb"], row["descriptors"], row["disk_kb"]]
-        for relay, row in told["relays_used"].items()]))
+    OUT.print(
+        table(
+            "Relays",
+            ["relay", "lives", "CPU s", "memory kB", "descriptors", "disk kB"],
+            [
+                [relay, row["lives"], row["cpu_s"], row["memory_kb"], row["descriptors"], row["disk_kb"]]
+                for relay, row in told["relays_used"].items()
+            ],
+        )
+    )
     verdict(told)
 
 
@@ -53,10 +75,24 @@
 
 def days(found):
     """Many days, a row each."""
-    OUT.print(table("Days", ["day", *HEAD, "service", "rules"], [
-        [*ends_row(name, told["all"]), told["service"],
-         "void" if told["void"] else "kept" if not told["broken"] else f"{len(told['broken'])} broken"]
-        for name, told in found.items()]))
+    OUT.print(
+        table(
+            "Days",
+            ["day", *HEAD, "service", "rules"],
+            [
+                [
+                    *ends_row(name, told["all"]),
+                    told["service"],
+                    "void"
+                    if told["void"]
+                    else "kept"
+                    if not told["broken"]
+                    else f"{len(told['broken'])} broken",
+                ]
+                for name, told in found.items()
+            ],
+        )
+    )
 
 
 @contextlib.contextmanager
@@ -78,13 +114,25 @@
         row[3] += msg.taken is not None and msg.over_at is None
         row[4] += sum(call.status in (429, 503) for call in msg.calls)
     late = ", town late" if town.judge.void else ""
-    return table(f"{name}, {seconds:.1f} s, {len(town.judge.broken)} broken rules{late}",
-                 ["destination", "ids", "delivered", "open", "refused"], rows.values())
+    return table(
+        f"{name}, {seconds:.1f} s, {len(town.judge.broken)} broken rules{late}",
+        ["destination", "ids", "delivered", "open", "refused"],
+        rows.values(),
+    )
 
 
 def state(told):
-    rows = [[name, msg["lane"], msg["dst"], msg["body"], len(msg["legs"]),
-             ", ".join(leg["ending"] or "out" for leg in msg["legs"])] for name, msg in told["held"].items()]
+    rows = [
+        [
+            name,
+            msg["lane"],
+            msg["dst"],
+            msg["body"],
+            len(msg["legs"]),
+            ", ".join(leg["ending"] or "out" for leg in msg["legs"]),
+        ]
+        for name, msg in told["held"].items()
+    ]
     OUT.print(table(f"Held: {len(rows)}", ["message", "lane", "dst", "body", "legs", "endings"], rows))
     OUT.print(table(f"Owed: {len(told['owed'])}", ["message", "state"], told["owed"].items()))
     OUT.print(f"{len(told['ends'])} recent ends")
@@ -93,10 +141,22 @@
 
 
 def segments(told):
-    OUT.print(table("Segments", ["segment", "records", "bytes", "live bytes", "kinds"], [
-        [name, row["records"], row["bytes"], row["live_bytes"],
-         ", ".join(f"{kind} {count}" for kind, count in row["kinds"].items())]
-        for name, row in told["segments"].items()]))
+    OUT.print(
+        table(
+            "Segments",
+            ["segment", "records", "bytes", "live bytes", "kinds"],
+            [
+                [
+                    name,
+                    row["records"],
+                    row["bytes"],
+                    row["live_bytes"],
+                    ", ".join(f"{kind} {count}" for kind, count in row["kinds"].items()),
+                ]
+                for name, row in told["segments"].items()
+            ],
+        )
+    )
     OUT.print(f"{told['held']} held, {told['owed']} owed, {told['ends']} recent ends")
 
 
--- a/courseroute/journal/disk.py
+++ b/courseroute/journal/disk.py
@@ -1,4 +1,5 @@
 """The file system as the journal uses it: few calls, one place where they can fail."""
+
 import os
 
 
--- a/courseroute/journal/faulty.py
+++ b/courseroute/journal/faulty.py
@@ -4,6 +4,7 @@
 answers with an errno, writes short, or is full. What outlasts a crash of the process is all that was written;
 what outlasts a power cut is what was synced.
 """
+
 import errno
 
 
@@ -15,9 +16,9 @@
     def __init__(self, room=None):
         self.files, self.synced, self.handles, self.next = {}, {}, {}, 3
         self.calls, self.room = 0, room
-        self.crash_at, self.part = None, 1.0    # the call, and how much of it still happens
-        self.fails = {}                         # call -> errno
-        self.short = set()                      # calls that write half
+        self.crash_at, self.part = None, 1.0  # the call, and how much of it still happens
+        self.fails = {}  # call -> errno
+        self.short = set()  # calls that write half
 
     def step(self, act):
         """One call that changes the disk: `act` is told how much of it happens."""
@@ -48,6 +49,7 @@
         def act(part):
             self.files[name] = bytearray()
             return self.open(name)
+
         return self.step(act)
 
     def open(self, name):
@@ -64,16 +66,19 @@
                     raise OSError(errno.ENOSPC, "full")
             self.handles[handle] += data[:count]
             return count
+
         return self.step(act)
 
     def truncate(self, handle, size):
         def act(part):
             del self.handles[handle][size:]
+
         self.step(act)
 
     def cut(self, name, size):
         def act(part):
             del self.data(name)[size:]
+
         self.step(act)
 
     def sync(self, handle):
@@ -81,6 +86,7 @@
             for name, data in self.files.items():
                 if data is self.handles[handle]:
                     self.synced[name] = bytes(data)
+
         self.step(act)
 
     def sync_folder(self):
@@ -96,13 +102,14 @@
 
     def read(self, name, at=0, size=-1):
         data = bytes(self.data(name))
-        return data[at:] if size < 0 else data[at:at + size]
+        return data[at:] if size < 0 else data[at : at + size]
 
     def rename(self, name, other):
         def act(part):
             self.files[other] = self.files.pop(name)
             if name in self.synced:
                 self.synced[other] = self.synced.pop(name)
+
         self.step(act)
 
     def remove(self, name):
@@ -110,6 +117,7 @@
             self.data(name)
             del self.files[name]
             self.synced.pop(name, None)
+
         self.step(act)
 
     def after(self, power_cut=False):
--- a/courseroute/journal/frames.py
+++ b/courseroute/journal/frames.py
@@ -7,6 +7,7 @@
 are little-endian. The salt is known to nobody outside: no client's body can hold what a reader that looks for
 the next good record behind a damaged one would take for one.
 """
+
 import struct
 from typing import NamedTuple
 
@@ -17,10 +18,10 @@
 HEADER = struct.Struct("<8sHHQIII")
 HEAD = struct.Struct("<2scBII")
 MARK, RECORD = b"courjrnl", b"\xc0\xde"
-SALT_AT = 24            # where the salt stands in the header
-MOST = 1 << 24          # no record is larger
+SALT_AT = 24  # where the salt stands in the header
+MOST = 1 << 24  # no record is larger
 TAKEN, CALL, BACK, OWED, OVER, MEMORY = b"T", b"C", b"B", b"N", b"O", b"M"
-PASSED = 64             # records passed over between two looks at the clock
+PASSED = 64  # records passed over between two looks at the clock
 KINDS = (TAKEN, CALL, BACK, OWED, OVER, MEMORY)
 
 
@@ -30,6 +31,7 @@
 
 class Found(NamedTuple):
     """One stretch of a segment: a record, or (kind None) bytes that are none; `torn`: its end is missing."""
+
     at: int
     end: int
     kind: bytes | None
@@ -48,7 +50,7 @@
     if len(data) < HEADER.size or data[:8] != MARK:
         return None
     _, version, _, number, _, _, check = HEADER.unpack_from(data)
-    if xxh32_intdigest(data[:HEADER.size - 4]) != check:
+    if xxh32_intdigest(data[: HEADER.size - 4]) != check:
         return None
     if version > VERSION:
         raise Newer(f"{name}: format {version}; this program reads up to {VERSION}")
@@ -57,6 +59,7 @@
 
 class Record:
     """A record that is to be written; its bytes depend on the segment it comes to stand in."""
+
     __slots__ = ("kind", "told", "text", "size")
 
     def __init__(self, kind, told, body=b""):
@@ -85,7 +88,7 @@
 def whole(data, at, salt):
     """The record that begins there, None where none does; IndexError where its end is missing."""
     if len(data) - at < HEAD.size:
-        if data[at:at + 2] in (RECORD, RECORD[:1]) or at == len(data):
+        if data[at : at + 2] in (RECORD, RECORD[:1]) or at == len(data):
             raise IndexError
         return None
     mark, kind, nought, size, check = HEAD.unpack_from(data, at)
@@ -94,12 +97,12 @@
     end = at + HEAD.size + size
     if end > len(data):
         raise IndexError
-    text = data[at + HEAD.size:end]
+    text = data[at + HEAD.size : end]
     if check_of(text, kind, salt) != check:
         return None
     line = text.find(b"\n")
     try:
-        return Found(at, end, kind, orjson.loads(text[:line]), text[line + 1:])
+        return Found(at, end, kind, orjson.loads(text[:line]), text[line + 1 :])
     except ValueError:
         return None
 
@@ -112,7 +115,7 @@
             found = whole(data, at, salt)
         except IndexError:
             found = None
-            if (then := resync(data, at + 1, salt)) is None:    # nothing behind it: a write that was cut off
+            if (then := resync(data, at + 1, salt)) is None:  # nothing behind it: a write that was cut off
                 yield Found(at, len(data), None, torn=True)
                 return
         else:
--- a/courseroute/journal/learned.py
+++ b/courseroute/journal/learned.py
@@ -5,6 +5,7 @@
 read; one that is broken, or of a newer version, is set aside under another name and the relay starts without
 it. What age makes of it is the module's (`Dispatcher.recall`).
 """
+
 import contextlib
 
 import orjson
@@ -33,7 +34,7 @@
         try:
             view = memoryview(orjson.dumps(head) + b"\n" + text)
             while view:
-                view = view[self.disk.write(handle, view):]
+                view = view[self.disk.write(handle, view) :]
             if self.syncs:
                 self.disk.sync(handle)
         finally:
--- a/courseroute/journal/old.py
+++ b/courseroute/journal/old.py
@@ -1,4 +1,5 @@
 """Reads the single-file log of versions up to 0.2: records up to the first that is torn."""
+
 import struct
 import zlib
 
@@ -13,7 +14,7 @@
     at = 0
     while at + HEAD.size <= len(data):
         size, check, kind = HEAD.unpack_from(data, at)
-        part = data[at + HEAD.size:at + HEAD.size + size]
+        part = data[at + HEAD.size : at + HEAD.size + size]
         if len(part) < size or zlib.crc32(part, zlib.crc32(kind)) != check or b"\n" not in part:
             return
         text, _, body = part.partition(b"\n")
--- a/courseroute/journal/plan.py
+++ b/courseroute/journal/plan.py
@@ -2,14 +2,15 @@
 
 A journal is a list of segments, oldest first, the newest still written to. Called by `store`.
 """
+
 from typing import NamedTuple
 
-SECTORS = 512           # a file counts in whole ones
+SECTORS = 512  # a file counts in whole ones
 SEGMENTS, LEAST_SEGMENT, MOST_SEGMENT = 24, 16 << 10, 4 << 20
-LIVE_SHARE = 0.78       # of the disk that live messages may fill, with room for their legs and ends
-RESERVE, LEAST_RESERVE = 2, 160 << 10       # segments, bytes kept for ends, calls and copies: not for new
-START, WASTE = 4, 0.5   # compaction begins below so many free segments; above half where so much is dead
-SLICE = 2_000_000       # nanoseconds of work at a stretch
+LIVE_SHARE = 0.78  # of the disk that live messages may fill, with room for their legs and ends
+RESERVE, LEAST_RESERVE = 2, 160 << 10  # segments, bytes kept for ends, calls and copies: not for new
+START, WASTE = 4, 0.5  # compaction begins below so many free segments; above half where so much is dead
+SLICE = 2_000_000  # nanoseconds of work at a stretch
 
 
 class Segment(NamedTuple):
--- a/courseroute/journal/syncer.py
+++ b/courseroute/journal/syncer.py
@@ -1,4 +1,5 @@
 """Syncs what is written, beside the event loop: now and then, or before it is answered for, many at once."""
+
 import trio
 
 
--- a/courseroute/journal/tools.py
+++ b/courseroute/journal/tools.py
@@ -3,6 +3,7 @@
 All but `dump`, `stat` and `verify` change files and want a folder that no relay holds; the lock on the folder
 tells. What is read is read as the relay reads it, but nothing is cut.
 """
+
 import os
 
 import orjson
@@ -13,12 +14,21 @@
 from courseroute.journal.replay import Replay
 from courseroute.journal.store import PREFIX, Journal
 
-NAMES = {frames.TAKEN: "taken", frames.CALL: "call", frames.BACK: "back", frames.OWED: "owed",
-         frames.OVER: "over", frames.MEMORY: "memory"}
+NAMES = {
+    frames.TAKEN: "taken",
+    frames.CALL: "call",
+    frames.BACK: "back",
+    frames.OWED: "owed",
+    frames.OVER: "over",
+    frames.MEMORY: "memory",
+}
 FIELDS = {
     "taken": ("name", "dst", "lane", "deadline", "mark", "key", "customer", "again", "taken_at"),
-    "call": ("name", "leg", "host", "at", "ending"), "back": ("name", "leg", "ending"),
-    "owed": ("name", "state", "after"), "over": ("name", "state")}
+    "call": ("name", "leg", "host", "at", "ending"),
+    "back": ("name", "leg", "ending"),
+    "owed": ("name", "state", "after"),
+    "over": ("name", "state"),
+}
 
 
 def segments(folder):
@@ -58,15 +68,22 @@
 
 def state(folder):
     """What is left of the records: held messages with their legs, notices owed, recent ends, what is bad."""
-    bad = [{part: row[part] for part in ("segment", "kind", "at", "bytes")} for row in rows(folder)
-           if row["kind"] in ("torn", "damaged", "foreign")]
+    bad = [
+        {part: row[part] for part in ("segment", "kind", "at", "bytes")}
+        for row in rows(folder)
+        if row["kind"] in ("torn", "damaged", "foreign")
+    ]
     now, held = replayed(folder), {}
     for name, kept in now.held.items():
         told = row_of(frames.TAKEN, kept.told, len(kept.body))
         held[name] = {part: told[part] for part in ("lane", "dst", "deadline", "customer", "body")}
         held[name]["legs"] = [dict(zip(("host", "at", "ending"), leg, strict=True)) for leg in kept.legs]
-    return {"held": held, "owed": {name: state for name, (state, _) in now.owed.items()},
-            "ends": dict(now.ends), "bad": bad}
+    return {
+        "held": held,
+        "owed": {name: state for name, (state, _) in now.owed.items()},
+        "ends": dict(now.ends),
+        "bad": bad,
+    }
 
 
 def replayed(folder):
@@ -150,8 +167,10 @@
     """The records of each message that is held or owed, and of recent ends, in order of taking on."""
     now = replayed(folder)
     for name, kept in now.held.items():
-        yield [frames.record(frames.TAKEN, kept.told, kept.body), *(
-            frames.record(frames.CALL, [name, n, *leg]) for n, leg in enumerate(kept.legs))]
+        yield [
+            frames.record(frames.TAKEN, kept.told, kept.body),
+            *(frames.record(frames.CALL, [name, n, *leg]) for n, leg in enumerate(kept.legs)),
+        ]
     for name, told in now.owed.items():
         yield [frames.record(frames.OWED, [name, *told])]
     for name, end in now.ends.items():
--- a/courseroute/model/agenda.py
+++ b/courseroute/model/agenda.py
@@ -1,4 +1,5 @@
 """Agenda mechanics: what is to be done later, in time order, and the actions said meanwhile."""
+
 import heapq
 
 
--- a/courseroute/model/histogram.py
+++ b/courseroute/model/histogram.py
@@ -1,4 +1,5 @@
 """Histogram mechanics: coarse bins by edges the caller hands in, halved when the caller's cap is reached."""
+
 from bisect import bisect_left
 
 
@@ -32,6 +33,7 @@
 
 class Odds:
     """How often things went wrong, by size: coarse bins, halved together when the caller's cap is reached."""
+
     __slots__ = ("edges", "cap", "all", "wrong")
 
     def __init__(self, edges, cap):
@@ -58,6 +60,7 @@
 
 class Meter:
     """Counts events in spans of a given length; keeps the last full span beside the running one."""
+
     __slots__ = ("span", "start", "count", "last")
 
     def __init__(self, span):
--- a/courseroute/model/lines.py
+++ b/courseroute/model/lines.py
@@ -1,4 +1,5 @@
 """Queue mechanics: messages that stand in line for a route, each line in booking order."""
+
 import heapq
 
 
--- a/courseroute/model/terms.py
+++ b/courseroute/model/terms.py
@@ -24,17 +24,26 @@
         return int(text) * US
 
     for name, path, convert in (
-        ("relays", "balancers", int), ("number", "me", int), ("area", "zone", str),
+        ("relays", "balancers", int),
+        ("number", "me", int),
+        ("area", "zone", str),
         ("slots", "family-info.call-slots", int),
-        ("room", "permissions.open-cap", int), ("legs", "permissions.send-cap", int),
+        ("room", "permissions.open-cap", int),
+        ("legs", "permissions.send-cap", int),
         ("connect_within", "permissions.connect-timeout", span),
         ("idle_close", "permissions.idle-close", span),
-        ("cancel", "permissions.cancel", truth), ("copies", "permissions.parallel-tries", truth),
-        ("stay_away", "permissions.max-retry-after", span), ("tick", "tick", span),
-        ("drain_grace", "safety.stop-sending-within", span), ("ask_within", "safety.ask-within", span),
-        ("cold", "safety.cold", span), ("cold_from", "safety.cold-from", float),
-        ("overload", "safety.overload-factor", float), ("fall", "safety.fall", span),
-        ("turn_gap", "safety.turn-gap", span), ("over_share", "over-share-worth", float),
+        ("cancel", "permissions.cancel", truth),
+        ("copies", "permissions.parallel-tries", truth),
+        ("stay_away", "permissions.max-retry-after", span),
+        ("tick", "tick", span),
+        ("drain_grace", "safety.stop-sending-within", span),
+        ("ask_within", "safety.ask-within", span),
+        ("cold", "safety.cold", span),
+        ("cold_from", "safety.cold-from", float),
+        ("overload", "safety.overload-factor", float),
+        ("fall", "safety.fall", span),
+        ("turn_gap", "safety.turn-gap", span),
+        ("over_share", "over-share-worth", float),
     ):
         carry(name, path, convert)
     terms["ask"] = told.get("discovery") == "on_request"
@@ -43,10 +52,13 @@
     if not truth(told.get("permissions.retry-after", "true")):
         terms["stay_away"] = 0
     kinds, apart, per_call = (
-        listed(told, path) for path in ("kinds", "family-info.routes-apart", "family-info.per-call"))
+        listed(told, path) for path in ("kinds", "family-info.routes-apart", "family-info.per-call")
+    )
     terms["kinds"] = {
-        kind: {"apart": truth(apart[i]) if i < len(apart) else False,
-               "per_call": int(per_call[i] or 1) if i < len(per_call) else 1}
+        kind: {
+            "apart": truth(apart[i]) if i < len(apart) else False,
+            "per_call": int(per_call[i] or 1) if i < len(per_call) else 1,
+        }
         for i, kind in enumerate(kinds)
     }
     terms["customers"] = {}
@@ -58,9 +70,14 @@
     for i in range(int(told.get("grades.count", 0))):
         lane = {}
         for name, key, convert in (
-            ("target", "objective", span), ("deadline", "deadline", span), ("group", "group", str),
-            ("effect", "effect", lambda text: EFFECTS.get(text, "non-retriable")), ("window", "window", span),
-            ("value", "worth", float), ("late_value", "late-value", float), ("ordered", "by-arrival", truth),
+            ("target", "objective", span),
+            ("deadline", "deadline", span),
+            ("group", "group", str),
+            ("effect", "effect", lambda text: EFFECTS.get(text, "non-retriable")),
+            ("window", "window", span),
+            ("value", "worth", float),
+            ("late_value", "late-value", float),
+            ("ordered", "by-arrival", truth),
         ):
             if f"grades.{i}.{key}" in told:
                 lane[name] = convert(told[f"grades.{i}.{key}"])
--- a/courseroute/run/console.py
+++ b/courseroute/run/console.py
@@ -1,4 +1,5 @@
 """structlog's side of the log, loaded only where an installation's own command starts the relay."""
+
 import datetime
 import sys
 
@@ -12,14 +13,17 @@
     if form == "console":
         chain = [stamp, ConsoleRenderer(colors=sys.stdout.isatty(), sort_keys=False, pad_event_to=30)]
     else:
+
         def dumps(line, **_):
             return orjson.dumps(line, default=str)
+
         chain = [structlog.processors.JSONRenderer(serializer=dumps)]
 
     def render(line):
         for processor in chain:
             line = processor(None, line.get("level", "info"), line)
         return (line.encode() if isinstance(line, str) else line) + b"\n"
+
     return render
 
 
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -5,6 +5,7 @@
 installations of one's own (`courseroute serve`); on the platform's path it is not loaded, as it alone takes
 1.9 MB of the 32 MB there are (docs/town.md), and the same chain ends in orjson directly.
 """
+
 import os
 import select
 import time
@@ -12,9 +13,21 @@
 import orjson
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
-WARNINGS = ("full", "journal cannot", "journal damaged", "learned state not", "notices fail", "notices not",
-            "discovery failed", "no descriptors", "saved list not", "configuration not", "connection failed",
-            "call failed", "folder not")
+WARNINGS = (
+    "full",
+    "journal cannot",
+    "journal damaged",
+    "learned state not",
+    "notices fail",
+    "notices not",
+    "discovery failed",
+    "no descriptors",
+    "saved list not",
+    "configuration not",
+    "connection failed",
+    "call failed",
+    "folder not",
+)
 ERRORS = ("fault",)
 POLL = select.poll()
 POLL.register(1, select.POLLOUT)
@@ -23,13 +36,14 @@
 class Logbook:
     def __init__(self):
         self.least, self.context, self.dropped, self.render = LEVELS["info"], {}, 0, render_json
-        self.structured = False     # structlog renders, in either form
+        self.structured = False  # structlog renders, in either form
 
     def set(self, level="info", form="json", **context):
         self.least = LEVELS[level]
         self.context |= context
         if form == "console" or self.structured:
             from courseroute.run.console import renderer
+
             self.render = renderer(form)
         else:
             self.render = render_json
--- a/courseroute/state/roster.py
+++ b/courseroute/state/roster.py
@@ -3,6 +3,7 @@
 Called by `run.relay`, for installations of one's own; the platform hands each start the list itself. The file
 is written beside and renamed, so that it is never half written; one that can't be read counts as none.
 """
+
 import contextlib
 import os
 
@@ -36,16 +37,34 @@
                 self.told.pop(name, None)
                 continue
             place = where.get(name) or self.told.get(name, {}).get("place")
-            self.told[name] = {"status": STATES[state], "place": place, "zone": area, "weight": rate,
-                               "type": kind, "group": dst}
+            self.told[name] = {
+                "status": STATES[state],
+                "place": place,
+                "zone": area,
+                "weight": rate,
+                "type": kind,
+                "group": dst,
+            }
 
     def write(self):
         """Keeps the list where it changed; a folder that can't be written costs the list, nothing else. What
         its answer is: whether it wrote."""
-        data = orjson.dumps({"index": 1, "snapshot": True, "endpoints": [
-            {"name": name, "address": "{}:{}".format(*one["place"]), "status": one["status"],
-             **{field: one[field] for field in FIELDS}}
-            for name, one in self.told.items() if one["place"]]})
+        data = orjson.dumps(
+            {
+                "index": 1,
+                "snapshot": True,
+                "endpoints": [
+                    {
+                        "name": name,
+                        "address": "{}:{}".format(*one["place"]),
+                        "status": one["status"],
+                        **{field: one[field] for field in FIELDS},
+                    }
+                    for name, one in self.told.items()
+                    if one["place"]
+                ],
+            }
+        )
         if data == self.written or not self.told or len(data) > self.most:
             return False
         with contextlib.suppress(OSError):
--- a/courseroute/town/null.py
+++ b/courseroute/town/null.py
@@ -5,6 +5,7 @@
 It is no relay for use: it decides nothing and owes nothing. The town's judge is tried on relays that are
 wrong in one way each (tests/wrong_relay.py), which are built on it.
 """
+
 import os
 import signal
 
@@ -23,7 +24,7 @@
 
 class NullRelay:
     def __init__(self, setup):
-        self.setup, self.hosts, self.idle = setup, {}, {}       # hosts: destination -> [(name, place)]
+        self.setup, self.hosts, self.idle = setup, {}, {}  # hosts: destination -> [(name, place)]
         self.lanes, self.status = setup.lanes, {}
 
     async def run(self):
@@ -107,8 +108,12 @@
         try:
             if link is None:
                 link = await Link(HEAD, BODY).dial(place)
-            head = [("Host", "origin"), ("X-Request-Id", told["name"]), ("X-Deadline", "3000m"),
-                    ("Idempotency-Key", told["mark"])]
+            head = [
+                ("Host", "origin"),
+                ("X-Request-Id", told["name"]),
+                ("X-Deadline", "3000m"),
+                ("Idempotency-Key", told["mark"]),
+            ]
             with trio.move_on_after(3):
                 await link.send("POST", "/hook", head, told["body"])
                 await link.hear_all()
@@ -127,7 +132,8 @@
     async def notice(self, told, state, after=0):
         line = orjson.dumps({"id": told["name"], "state": state, "after_ms": after}) + b"\n"
         await Line(self.directory.place, HEAD, BODY).exchange(
-            WAIT, "POST", "/v1/notices", [("Host", "p")], line)
+            WAIT, "POST", "/v1/notices", [("Host", "p")], line
+        )
 
 
 def main(kind=NullRelay):
--- a/courseroute/town/partner.py
+++ b/courseroute/town/partner.py
@@ -3,6 +3,7 @@
 One Partner a destination. The caller hands in `now` (nanoseconds) and gets a Verdict; the sockets
 (`town.quarter`) carry it out, and a model in simulated time can use the same.
 """
+
 import heapq
 from collections import deque
 from typing import NamedTuple
@@ -11,25 +12,26 @@
 from courseroute.town.script import OUTAGES
 
 S = 1_000_000_000
-SLACK = 2.0         # beyond the budget, for chance: so many times its root
+SLACK = 2.0  # beyond the budget, for chance: so many times its root
 
 
 class Verdict(NamedTuple):
     """`status` 0: no answer. `after`: nanoseconds until it is written. `ran`: the message takes effect."""
+
     status: int
     after: int = 0
     ran: bool = False
     wait: int = 0
-    how: str = ""           # reset, spoilt, silent, else an answer as it should be
+    how: str = ""  # reset, spoilt, silent, else an answer as it should be
     cause: str = ""
 
 
 class HostState:
     def __init__(self, place):
         self.place, self.name = place, place.name
-        self.ends = []                  # when the calls it serves are done, a heap
+        self.ends = []  # when the calls it serves are done, a heap
         self.leaving = self.gone = False
-        self.name_now = place.name      # another one after it was replaced
+        self.name_now = place.name  # another one after it was replaced
 
 
 class Partner:
@@ -41,14 +43,14 @@
         self.remembers = span(place.form.remembers)
         self.cold, self.cold_from = span(rules.cold) or 0, rules.cold_from or 1.0
         self.overload, self.fall = rules.overload or 0.0, span(rules.fall) or 0
-        self.recent = deque()           # (time, relay) of the calls in its window while it is cold
-        self.counted = deque()          # times that used the limit up
-        self.keys = {}                  # key -> when it first took effect
-        self.active = {}                # number -> Strike, those that hold now
-        self.outage = None              # since when all its hosts were out
-        self.warm_from = None           # the outage's end
+        self.recent = deque()  # (time, relay) of the calls in its window while it is cold
+        self.counted = deque()  # times that used the limit up
+        self.keys = {}  # key -> when it first took effect
+        self.active = {}  # number -> Strike, those that hold now
+        self.outage = None  # since when all its hosts were out
+        self.warm_from = None  # the outage's end
         self.fallen_until, self.stays_down = 0, span(place.form.stays_down)
-        self.knowing = set()            # relays that saw a call fail in the last outage
+        self.knowing = set()  # relays that saw a call fail in the last outage
         self.report = None
 
     # Faults.
@@ -60,13 +62,19 @@
 
     def finish(self, now, number):
         strike = self.active.pop(number)
-        if strike.kind in OUTAGES and self.outage is not None and not any(
-                other.kind in OUTAGES and self.place.name in other.names for other in self.active.values()):
+        if (
+            strike.kind in OUTAGES
+            and self.outage is not None
+            and not any(
+                other.kind in OUTAGES and self.place.name in other.names for other in self.active.values()
+            )
+        ):
             self.outage, self.warm_from = None, now
 
     def struck(self, host, *kinds):
-        return next((one for one in self.active.values()
-                     if one.kind in kinds and host.name in one.names), None)
+        return next(
+            (one for one in self.active.values() if one.kind in kinds and host.name in one.names), None
+        )
 
     def hit(self, host, kind):
         one = self.struck(host, kind)
@@ -144,8 +152,14 @@
         """Calls a second that are let through now; None where there is no limit."""
         if self.form.limit is None:
             return None
-        factor = next((one.fault.factor for one in self.active.values()
-                       if one.kind == "limit" and self.place.name in one.names), 1.0)
+        factor = next(
+            (
+                one.fault.factor
+                for one in self.active.values()
+                if one.kind == "limit" and self.place.name in one.names
+            ),
+            1.0,
+        )
         return self.form.limit * factor
 
     def within_limit(self, now):
@@ -153,7 +167,7 @@
         if limit is None:
             return True
         since = now // self.window * self.window if self.form.aligned else now - self.window
-        since += not self.form.aligned      # what is just a window old counts no more
+        since += not self.form.aligned  # what is just a window old counts no more
         while self.counted and self.counted[0] < since:
             self.counted.popleft()
         fits = len(self.counted) < max(1.0, limit * self.window / S)
@@ -165,12 +179,19 @@
         """(share left, limit) as an answer tells it; a frozen one stays as it was."""
         if not self.form.reports or self.form.limit is None:
             return None
-        if self.report and any(one.kind == "pause-reports" and self.place.name in one.names
-                               for one in self.active.values()):
+        if self.report and any(
+            one.kind == "pause-reports" and self.place.name in one.names for one in self.active.values()
+        ):
             return self.report
         limit = self.limit()
-        told = next((one.fault.told for one in self.active.values()
-                     if one.kind == "limit" and one.fault.told and self.place.name in one.names), 1.0)
+        told = next(
+            (
+                one.fault.told
+                for one in self.active.values()
+                if one.kind == "limit" and one.fault.told and self.place.name in one.names
+            ),
+            1.0,
+        )
         left = max(0.0, 1 - len(self.counted) / max(1.0, limit * self.window / S))
         self.report = round(left, 3), round(limit * told, 3)
         return self.report
@@ -187,7 +208,7 @@
         since = now - self.warm_from
         share = self.cold_from + (1 - self.cold_from) * since / max(1, self.cold)
         budget = self.overload * share * self.capacity() * self.fall / S
-        if len(self.recent) <= budget + SLACK * budget ** 0.5 + 1:
+        if len(self.recent) <= budget + SLACK * budget**0.5 + 1:
             return False
         self.fallen_until = now + self.stays_down
         return True
@@ -202,8 +223,9 @@
 
     def stand_up(self, now):
         """The end of a fall."""
-        if self.outage is not None and not any(one.kind in OUTAGES and self.place.name in one.names
-                                               for one in self.active.values()):
+        if self.outage is not None and not any(
+            one.kind in OUTAGES and self.place.name in one.names for one in self.active.values()
+        ):
             self.outage, self.warm_from = None, now
 
     def capacity(self):
--- a/courseroute/town/platform.py
+++ b/courseroute/town/platform.py
@@ -2,6 +2,7 @@
 
 Called by `play`. Each relay has a listener of its own, so that what each was told and asked is known.
 """
+
 import re
 
 import orjson
@@ -12,7 +13,7 @@
 
 S = 1_000_000_000
 WATCH_MOST = 60_000
-OLD_STAYS = 1.5         # seconds that connections stay open at an address that was left
+OLD_STAYS = 1.5  # seconds that connections stay open at an address that was left
 STATUS = {"active": "active", "draining": "leaving", "gone": "left"}
 
 
@@ -21,7 +22,7 @@
 
     def __init__(self, entries):
         self.entries = {entry["name"]: entry for entry in entries}
-        self.index, self.log = 1, []        # (index, name, status, entry)
+        self.index, self.log = 1, []  # (index, name, status, entry)
         self.down, self.late = False, 0
         self.news = trio.Event()
 
@@ -121,8 +122,10 @@
             return 503, (), b""
         try:
             told = [orjson.loads(line) for line in body.splitlines() if line]
-            rows = [(str(line["id"]), str(line["state"]), int(line.get("after_ms", 0)) * 1_000_000)
-                    for line in told]
+            rows = [
+                (str(line["id"]), str(line["state"]), int(line.get("after_ms", 0)) * 1_000_000)
+                for line in told
+            ]
         except (ValueError, KeyError, TypeError):
             return 400, (), b""
         for name, state, after in rows:
@@ -142,8 +145,11 @@
         if directory.down:
             return 503, (), b""
         index, whole, entries = directory.since(known)
-        told = {"index": index, "snapshot": whole,
-                "endpoints": [self.entry(entry, relay) for entry in entries]}
+        told = {
+            "index": index,
+            "snapshot": whole,
+            "endpoints": [self.entry(entry, relay) for entry in entries],
+        }
         for entry in entries:
             self.tell("told", self.clock(), relay=f"n{relay}", host=entry["name"], status=entry["status"])
         return 200, (), orjson.dumps(told)
@@ -164,5 +170,13 @@
 
 
 def entry_of(place, host, status="active", name=None, since=0):
-    return {"name": name or host.name, "host": host.name, "zone": host.area, "type": place.form.kind,
-            "group": place.number, "status": status, "weight": 1.0, "since_ms": since}
+    return {
+        "name": name or host.name,
+        "host": host.name,
+        "zone": host.area,
+        "type": place.form.kind,
+        "group": place.number,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": since,
+    }
--- a/courseroute/town/scripted.py
+++ b/courseroute/town/scripted.py
@@ -4,6 +4,7 @@
 a trio loop in a thread of its own, steered from the one that made it. A plan is told each call as a map
 (id, key, host, body, port, n, at) and returns (status, headers), "hang", "drop", or bytes to be sent as is.
 """
+
 import threading
 import time
 
@@ -14,9 +15,12 @@
 from courseroute.town.platform import Directory, Platform, entry_of
 from courseroute.town.script import Day, HostPlace, Partner, Place
 
-DAY = {"partners": {"d": {"connections": 4096, "idle_close": "60s"}}, "traffic": {"lanes": {"x": 1.0}},
-       "lanes": {"x": {"deadline": "8s"}}}
-HANG = 20 * 10 ** 9
+DAY = {
+    "partners": {"d": {"connections": 4096, "idle_close": "60s"}},
+    "traffic": {"lanes": {"x": 1.0}},
+    "lanes": {"x": {"deadline": "8s"}},
+}
+HANG = 20 * 10**9
 
 
 class PlannedHosts(Hosts):
@@ -25,9 +29,15 @@
         self.town = town
 
     async def call(self, partner, door, sock, stream, machine, request, began, fresh):
-        call = {"id": request.headers.get("x-request-id"), "host": door.host.name, "at": time.time(),
-                "key": request.headers.get("idempotency-key"), "body": bytes(request.body),
-                "n": len(self.town.calls), "port": sock.getpeername()[1]}
+        call = {
+            "id": request.headers.get("x-request-id"),
+            "host": door.host.name,
+            "at": time.time(),
+            "key": request.headers.get("idempotency-key"),
+            "body": bytes(request.body),
+            "n": len(self.town.calls),
+            "port": sock.getpeername()[1],
+        }
         self.town.calls.append(call)
         plan = await trio.to_thread.run_sync(self.town.plan, call, limiter=self.town.planning)
         if plan == "hang":
@@ -37,7 +47,7 @@
             try:
                 await stream.send_all(plan)
                 await self.still_there(sock, None)
-            finally:        # the relay may end it while it is being written
+            finally:  # the relay may end it while it is being written
                 call["closed"] = True
         elif plan == "drop":
             sock.shutdown(trio.socket.SHUT_RDWR)
@@ -102,7 +112,7 @@
         self.rows.append({"at": at, "what": what, **row})
 
     def notice(self, name, state, after):
-        self.notices.append({"id": name, "state": state} | ({"after_ms": after // 10 ** 6} if after else {}))
+        self.notices.append({"id": name, "state": state} | ({"after_ms": after // 10**6} if after else {}))
 
     def entry(self, host, status="active"):
         return entry_of(self.place, host, status) | {"type": "k"}
@@ -123,8 +133,9 @@
     def move_platform(self, how):
         """Another address for it all; the old one goes on (`serves`) or is closed at once (`gone`)."""
         old, self.moves = self.moves, self.moves + 1
-        self.discovery = trio.from_thread.run(self.platform.listen, self.moves, self.nursery,
-                                              trio_token=self.token)
+        self.discovery = trio.from_thread.run(
+            self.platform.listen, self.moves, self.nursery, trio_token=self.token
+        )
         if how == "gone":
             self.steer(self.platform.end, old)
 
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -1,4 +1,5 @@
 """Discovery: a watch kept up by one call after another; each failure is told, and the module asks anew."""
+
 import orjson
 import trio
 
@@ -35,7 +36,7 @@
         self.desk, self.hosts, self.house, self.watch, self.log = desk, hosts, house, watch, log
         self.line = Line(place, house["head"], house["list"])
         self.wait, self.asked, self.asking = None, trio.Event(), trio.CancelScope()
-        self.keep = None        # told (scope, entries, addresses) too, where the list is kept
+        self.keep = None  # told (scope, entries, addresses) too, where the list is kept
 
     def ask(self, wait):
         self.wait = wait
@@ -43,13 +44,13 @@
 
     def move(self, place):
         """The directory is elsewhere from now on: what waits at the old one is asked of the new at once."""
-        self.line.place, self.watch.index = place, None     # its versions are its own: the whole list first
+        self.line.place, self.watch.index = place, None  # its versions are its own: the whole list first
         self.asking.cancel()
         if self.wait is not None:
             self.asked.set()
 
     def learn(self, scope, entries, where):
-        if scope == "full":     # who left is not dialled again: another may have its address
+        if scope == "full":  # who left is not dialled again: another may have its address
             self.hosts.where.clear()
         self.hosts.where.update(where)
         for name, state, *_ in entries:
@@ -71,9 +72,13 @@
             except (*LOST, Refused, ValueError) as cause:
                 self.log("discovery failed", error=str(cause)[:200] or type(cause).__name__)
                 self.line.drop()
-                self.asked = trio.Event()       # what was asked meanwhile is answered by this failure
+                self.asked = trio.Event()  # what was asked meanwhile is answered by this failure
                 self.desk.tell("roster", "failed", [])
 
     async def get(self):
-        return await self.line.exchange(self.wait + self.house["list_within"], "GET",
-                                        self.watch.target(self.wait), [("Host", "discovery")])
+        return await self.line.exchange(
+            self.wait + self.house["list_within"],
+            "GET",
+            self.watch.target(self.wait),
+            [("Host", "discovery")],
+        )
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -1,12 +1,22 @@
 """HTTP/1.1 as state machines that are fed bytes and know no socket; h11 parses."""
+
 import re
 
 import h11
 
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
-REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-           500: b"Internal Server Error", 503: b"Service Unavailable"}
+REASONS = {
+    200: b"OK",
+    202: b"Accepted",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    503: b"Service Unavailable",
+}
 
 
 class Refused(Exception):
@@ -43,7 +53,7 @@
         self.chunk, self.whole = data, False
         try:
             self.h11.receive_data(data)
-        except RuntimeError:        # bytes after the end of sending
+        except RuntimeError:  # bytes after the end of sending
             raise Refused(400, "bytes after the end") from None
 
     def next(self):
@@ -51,7 +61,7 @@
         while True:
             try:
                 event = self.h11.next_event()
-            except (h11.RemoteProtocolError, ValueError) as cause:      # a length too long to be read
+            except (h11.RemoteProtocolError, ValueError) as cause:  # a length too long to be read
                 raise Refused(getattr(cause, "error_status_hint", 400), str(cause)) from None
             if event is h11.NEED_DATA:
                 return None
@@ -70,11 +80,11 @@
     def begin(self, event):
         headers = {}
         if sum(len(name) + len(value) for name, value in event.headers) + len(event.target) > self.head_limit:
-            raise Refused(431, "head too large")        # h11 bounds only heads that come in pieces
+            raise Refused(431, "head too large")  # h11 bounds only heads that come in pieces
         for name, value in event.headers:
             headers.setdefault(name.decode("latin-1"), value.decode("latin-1"))
         if "content-length" in headers and "transfer-encoding" in headers:
-            raise Refused(400, "two lengths")       # a reader of the other one finds a request in the body
+            raise Refused(400, "two lengths")  # a reader of the other one finds a request in the body
         length = headers.get("content-length", "0")
         if length.isdigit() and int(length) > self.body_limit:
             raise Refused(413, "body too large")
@@ -83,9 +93,9 @@
 
     def finish(self):
         request, self.request = self.request, None
-        if self.whole:      # head and body came in one read: the body is a slice of that buffer
+        if self.whole:  # head and body came in one read: the body is a slice of that buffer
             end = len(self.chunk) - len(self.h11.trailing_data[0])
-            request.body = memoryview(self.chunk)[end - self.size:end]
+            request.body = memoryview(self.chunk)[end - self.size : end]
         else:
             request.body = b"".join(self.parts)
         self.parts = []
@@ -121,12 +131,12 @@
 
     def __init__(self, head_limit, body_limit, keeps=True):
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
-        self.body_limit, self.keeps = body_limit, keeps     # a longer body is an error
+        self.body_limit, self.keeps = body_limit, keeps  # a longer body is an error
         self.start()
 
     def start(self):
         self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
-        self.first = None       # the status by the first line, which may be whole in a head that is not
+        self.first = None  # the status by the first line, which may be whole in a head that is not
 
     def begin(self, method, target, headers, body=b""):
         """The head's bytes; the body goes out behind them as it is."""
@@ -167,14 +177,14 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self.done = True
                     return
-        except (h11.RemoteProtocolError, RuntimeError, ValueError) as cause:    # a length too long to be read
+        except (h11.RemoteProtocolError, RuntimeError, ValueError) as cause:  # a length too long to be read
             raise Refused(400, str(cause)) from None
 
     def read_first_line(self):
         """What is noise is known by its first bytes; h11 would wait for the end of a head."""
         head = self.h11.trailing_data[0]
         found = FIRST_LINE.match(head)
-        if not found and (b"\n" in head or not head.startswith(b"HTTP/1."[:len(head)])):
+        if not found and (b"\n" in head or not head.startswith(b"HTTP/1."[: len(head)])):
             raise Refused(400, "no answer's first line")
         self.first = int(found[1]) if found else None
 
--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -1,4 +1,5 @@
 """Notices to the platform: a queue of ends owed, told in batches over one connection until they are taken."""
+
 import orjson
 import trio
 
@@ -54,7 +55,8 @@
         """The answer's status, None where none came."""
         try:
             status, _ = await self.line.exchange(
-                self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body)
+                self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body
+            )
         except (*LOST, Refused):
             status = None
         if (status is None) != self.failing:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,5 @@
 """The configuration: both forms make one checked object, and every mistake is told with its place."""
+
 import os
 import subprocess
 import sys
@@ -14,29 +15,45 @@
 from courseroute.run.logbook import level_of
 from courseroute.run.setup import LaneTerms, Setup
 
-WHOLE = {"listen": "127.0.0.1:8080", "directory": "127.0.0.1:8500", "state": "/s",
-         "lanes": {"notice": {"target": "2s", "effect": "retriable"}}}
+WHOLE = {
+    "listen": "127.0.0.1:8080",
+    "directory": "127.0.0.1:8500",
+    "state": "/s",
+    "lanes": {"notice": {"target": "2s", "effect": "retriable"}},
+}
 
 
 def changed(**parts):
     return WHOLE | parts
 
 
-@pytest.mark.parametrize("told, places", [
-    ({}, ["listen", "directory", "state", "lanes"]),
-    (changed(listen="8080", state=7), ["listen", "state"]),
-    (changed(lanes={}), ["lanes"]), (changed(lanes=[]), ["lanes"]),
-    (changed(lanes={"a": {"efect": "keyed"}, "b": {"effect": "keyed"}, "c": {"target": 5}}),
-     ["lanes.a.efect", "lanes.b.window", "lanes.c.target"]),
-    (changed(fleet={"relays": 2, "number": 2}), ["fleet.number"]),
-    (changed(limits={"memory_mb": 0, "disk_mb": -1, "descriptors": "many"}),
-     ["limits.memory_mb", "limits.disk_mb", "limits.descriptors"]),
-    (changed(rules={"cold_from": 1.5, "cold": "10"}, log={"level": "loud"}),
-     ["rules.cold_from", "rules.cold", "log.level"]),
-    (changed(seed="xyz", sending={"slots": -1, "stay_away": "2 s"}),
-     ["seed", "sending.slots", "sending.stay_away"]),
-    (changed(kinds={"k": {"per_call": 0}}, customers={"c": -2}), ["kinds.k.per_call", "customers.c"]),
-])
+@pytest.mark.parametrize(
+    "told, places",
+    [
+        ({}, ["listen", "directory", "state", "lanes"]),
+        (changed(listen="8080", state=7), ["listen", "state"]),
+        (changed(lanes={}), ["lanes"]),
+        (changed(lanes=[]), ["lanes"]),
+        (
+            changed(lanes={"a": {"efect": "keyed"}, "b": {"effect": "keyed"}, "c": {"target": 5}}),
+            ["lanes.a.efect", "lanes.b.window", "lanes.c.target"],
+        ),
+        (changed(fleet={"relays": 2, "number": 2}), ["fleet.number"]),
+        (
+            changed(limits={"memory_mb": 0, "disk_mb": -1, "descriptors": "many"}),
+            ["limits.memory_mb", "limits.disk_mb", "limits.descriptors"],
+        ),
+        (
+            changed(rules={"cold_from": 1.5, "cold": "10"}, log={"level": "loud"}),
+            ["rules.cold_from", "rules.cold", "log.level"],
+        ),
+        (
+            changed(seed="xyz", sending={"slots": -1, "stay_away": "2 s"}),
+            ["seed", "sending.slots", "sending.stay_away"],
+        ),
+        (changed(kinds={"k": {"per_call": 0}}, customers={"c": -2}), ["kinds.k.per_call", "customers.c"]),
+    ],
+)
 def test_every_mistake_is_told_with_its_place_what_was_found_and_what_is_allowed(told, places):
     with pytest.raises(Bad) as caught:
         made(told, Setup, "f.toml")
@@ -46,13 +63,20 @@
     assert all(line.startswith("f.toml: ") and "allowed: " in line for line in lines)
 
 
-@pytest.mark.parametrize("name, text, said", [
-    ("none.toml", None, "No such file"), ("a.toml", "a = [", "TOML"), ("b.toml", b"\xff\xfe", "TOML"),
-    ("c.json", "{", "JSON"), ("d.json", "[]", "JSON object"), ("e.json", '{"settings": 4}', "limits"),
-    ("f.json", '{"limits": {"memory_mb": "x"}, "settings": {}}', "limits"),
-    ("g.json", '{"limits": {"memory_mb": 1, "sockets": 64, "disk_mb": 1}}', "listen"),
-    (None, None, "ROUTER_CONFIG"),
-])
+@pytest.mark.parametrize(
+    "name, text, said",
+    [
+        ("none.toml", None, "No such file"),
+        ("a.toml", "a = [", "TOML"),
+        ("b.toml", b"\xff\xfe", "TOML"),
+        ("c.json", "{", "JSON"),
+        ("d.json", "[]", "JSON object"),
+        ("e.json", '{"settings": 4}', "limits"),
+        ("f.json", '{"limits": {"memory_mb": "x"}, "settings": {}}', "limits"),
+        ("g.json", '{"limits": {"memory_mb": 1, "sockets": 64, "disk_mb": 1}}', "listen"),
+        (None, None, "ROUTER_CONFIG"),
+    ],
+)
 def test_what_cannot_be_read_is_told_in_lines(tmp_path, name, text, said):
     environ = {"ROUTER_STATE": "/s"}
     if name:
@@ -65,44 +89,80 @@
 
 def test_both_forms_make_the_same_terms(tmp_path):
     toml = tmp_path / "c.toml"
-    toml.write_bytes(msgspec.toml.encode(changed(
-        seed="ff", fleet={"relays": 3, "number": 1, "area": "z"}, limits={"descriptors": 64, "disk_mb": 3.0},
-        sending={"slots": 8, "idle_close": "10s", "stay_away": "2s", "cancel": True},
-        rules={"drain_grace": "1s", "cold": "10s", "cold_from": 0.25},
-        lanes={"order": {"effect": "keyed", "window": "5s", "target": "1.5s", "value": 2.0}})))
+    toml.write_bytes(
+        msgspec.toml.encode(
+            changed(
+                seed="ff",
+                fleet={"relays": 3, "number": 1, "area": "z"},
+                limits={"descriptors": 64, "disk_mb": 3.0},
+                sending={"slots": 8, "idle_close": "10s", "stay_away": "2s", "cancel": True},
+                rules={"drain_grace": "1s", "cold": "10s", "cold_from": 0.25},
+                lanes={"order": {"effect": "keyed", "window": "5s", "target": "1.5s", "value": 2.0}},
+            )
+        )
+    )
     json = tmp_path / "c.json"
-    json.write_bytes(msgspec.json.encode({
-        "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500", "seed": "ff",
-        "limits": {"memory_mb": 192, "sockets": 64, "disk_mb": 3},
-        "settings": {"balancers": 3, "me": 1, "zone": "z", "family-info": {"call-slots": 8},
-                     "permissions": {"idle-close": 10_000_000, "max-retry-after": 2_000_000, "cancel": True},
-                     "safety": {"stop-sending-within": 1_000_000, "cold": 10_000_000, "cold-from": 0.25},
-                     "grades": [{"name": "order", "effect": "token", "window": 5_000_000,
-                                 "objective": 1_500_000, "worth": 2.0}]}}))
+    json.write_bytes(
+        msgspec.json.encode(
+            {
+                "listen": "127.0.0.1:8080",
+                "discovery": "127.0.0.1:8500",
+                "seed": "ff",
+                "limits": {"memory_mb": 192, "sockets": 64, "disk_mb": 3},
+                "settings": {
+                    "balancers": 3,
+                    "me": 1,
+                    "zone": "z",
+                    "family-info": {"call-slots": 8},
+                    "permissions": {"idle-close": 10_000_000, "max-retry-after": 2_000_000, "cancel": True},
+                    "safety": {"stop-sending-within": 1_000_000, "cold": 10_000_000, "cold-from": 0.25},
+                    "grades": [
+                        {
+                            "name": "order",
+                            "effect": "token",
+                            "window": 5_000_000,
+                            "objective": 1_500_000,
+                            "worth": 2.0,
+                        }
+                    ],
+                },
+            }
+        )
+    )
     one = config.read({"ROUTER_CONFIG": str(toml)})
     two = config.read({"ROUTER_CONFIG": str(json), "ROUTER_STATE": "/s", "ROUTER_NAME": "relay"})
-    for told in (one, two):     # the platform's settings always say these
+    for told in (one, two):  # the platform's settings always say these
         told["terms"].pop("listed_rates"), told["terms"].pop("rough")
-    assert one.pop("keeps_list") and not two.pop("keeps_list")      # the platform hands each start the list
+    assert one.pop("keeps_list") and not two.pop("keeps_list")  # the platform hands each start the list
     assert one == two
     assert one["terms"]["lanes"]["order"] == {
-        "effect": "keyed", "window": 5 * 10 ** 9, "target": 15 * 10 ** 8, "value": 2.0}
+        "effect": "keyed",
+        "window": 5 * 10**9,
+        "target": 15 * 10**8,
+        "value": 2.0,
+    }
 
 
-@given(st.integers(0, 10 ** 17))
+@given(st.integers(0, 10**17))
 def test_spans_are_read_as_written(ns):
     assert span(span_text(ns)) == ns
 
 
-@pytest.mark.parametrize("text, ns", [("1.5s", 15 * 10 ** 8), ("0.000001ms", 1), ("2h", 72 * 10 ** 11)])
+@pytest.mark.parametrize("text, ns", [("1.5s", 15 * 10**8), ("0.000001ms", 1), ("2h", 72 * 10**11)])
 def test_spans_hold_whole_nanoseconds(text, ns):
     assert span(text) == ns
 
 
-@given(st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
-                    lambda part: st.lists(part, max_size=3) | st.dictionaries(
-                        st.sampled_from([*Setup.__struct_fields__, *LaneTerms.__struct_fields__, "x"]), part,
-                        max_size=4), max_leaves=12))
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda part: st.lists(part, max_size=3)
+        | st.dictionaries(
+            st.sampled_from([*Setup.__struct_fields__, *LaneTerms.__struct_fields__, "x"]), part, max_size=4
+        ),
+        max_leaves=12,
+    )
+)
 def test_no_file_ends_in_a_trace(told):
     try:
         assert made(told, Setup).lanes
@@ -113,15 +173,21 @@
 def test_the_configuration_page_and_the_schema_name_the_same_keys():
     """Each key of the form stands in a row of docs/configuration.md with its default, and no other does."""
     page = (checked_root() / "docs/configuration.md").read_text()
-    rows = [[cell.strip().strip("`") for cell in line.split("|")[1:-1]]
-            for line in page.splitlines() if line.startswith("| `")]
-    told = {place: "" if default in (None, "", {}) else str(default).lower()
-            for place, _, default in checked.keys(Setup)}
+    rows = [
+        [cell.strip().strip("`") for cell in line.split("|")[1:-1]]
+        for line in page.splitlines()
+        if line.startswith("| `")
+    ]
+    told = {
+        place: "" if default in (None, "", {}) else str(default).lower()
+        for place, _, default in checked.keys(Setup)
+    }
     assert {row[0]: row[2].replace("none", "") for row in rows} == told
 
 
 def checked_root():
     from pathlib import Path
+
     return Path(checked.__file__).parent.parent
 
 
@@ -143,9 +209,14 @@
 
 @pytest.mark.parametrize("form, mark", [("json", b'"dropped_before":5'), ("console", b"dropped_before")])
 def test_a_reader_that_stands_still_stops_nothing_and_is_told_what_it_missed(form, mark):
-    with subprocess.Popen([sys.executable, "-c", CHILD, form], cwd=checked_root(), stdin=subprocess.PIPE,
-                          stdout=subprocess.PIPE, stderr=subprocess.PIPE) as child:
-        count = int(child.stderr.readline())        # it came here though nobody read
+    with subprocess.Popen(
+        [sys.executable, "-c", CHILD, form],
+        cwd=checked_root(),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as child:
+        count = int(child.stderr.readline())  # it came here though nobody read
         os.set_blocking(child.stdout.fileno(), False)
         got = child.stdout.read()
         child.stdin.write(b"\n")
@@ -156,11 +227,18 @@
     assert len(lines) == count and mark in lines[-1] and b"warning" in lines[-1] and b"n0" in lines[0]
 
 
-@pytest.mark.parametrize("event, level", [
-    ("fault", "error"), ("full", "warning"), ("room again", "info"), ("notices not taken", "warning"),
-    ("notices are taken again", "info"), ("host 3: returned, failures over 2899 ms", "info"),
-    ("host 3: set aside on full, evidence 4.5", "info"),
-    ("configuration not read, the old one stays", "warning"),
-])
+@pytest.mark.parametrize(
+    "event, level",
+    [
+        ("fault", "error"),
+        ("full", "warning"),
+        ("room again", "info"),
+        ("notices not taken", "warning"),
+        ("notices are taken again", "info"),
+        ("host 3: returned, failures over 2899 ms", "info"),
+        ("host 3: set aside on full, evidence 4.5", "info"),
+        ("configuration not read, the old one stays", "warning"),
+    ],
+)
 def test_each_event_has_its_level(event, level):
     assert level_of(event) == level
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 """The state machines, fed bytes, and the words of the protocol."""
+
 import contextlib
 
 import orjson
@@ -10,15 +11,17 @@
 from courseroute.wire.discovery import Watch
 from courseroute.wire.http import Call, Door, Refused
 
-POST = (b"POST /order/x?subject=k HTTP/1.1\r\nHost: r\r\nX-Request-Id: m1\r\nX-Deadline: 1500m\r\n"
-        b"Envelope: dest=07\r\nIdempotency-Key: q\r\nContent-Length: 5\r\n\r\nhe\0lo")
+POST = (
+    b"POST /order/x?subject=k HTTP/1.1\r\nHost: r\r\nX-Request-Id: m1\r\nX-Deadline: 1500m\r\n"
+    b"Envelope: dest=07\r\nIdempotency-Key: q\r\nContent-Length: 5\r\n\r\nhe\0lo"
+)
 
 
 @pytest.mark.parametrize("size", [1, 2, 7, 64, len(POST) - 1, len(POST), 2 * len(POST)])
 def test_a_request_is_the_same_however_its_bytes_come(size):
     door, found, data = Door(4096, 100), [], POST * 2
     for at in range(0, len(data), size):
-        door.feed(data[at:at + size])
+        door.feed(data[at : at + size])
         while request := door.next():
             found.append((request.method, request.target, bytes(request.body)))
             assert door.answer(202).startswith(b"HTTP/1.1 202 ")
@@ -32,18 +35,24 @@
     assert isinstance(body, memoryview) and body.obj is chunk and body == b"he\0lo"
 
 
-@pytest.mark.parametrize("data, outcome", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", (200, True, True)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", (200, True, False)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", (200, False, False)),
-    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", (503, True, True)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 again", (200, True, False)),
-    (b"SSH-2.0 hello\r\n\r\n", Refused), (b"", Refused), (b"HTTP/1.1 2", (None, False, False)),
-    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, Refused), (b"HTTP/1.1 OK 200\r\n", Refused),
-    (b"\0noise", Refused),
-    (b"HTTP/1.1 500 No\r\nContent-Length: 3000000000\r\n\r\nx", Refused),
-    (b"HTTP/1.1 500 No\r\nContent-Length: " + b"9" * 2000 + b"\r\n\r\nx", Refused),
-])
+@pytest.mark.parametrize(
+    "data, outcome",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", (200, True, True)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", (200, True, False)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", (200, False, False)),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", (503, True, True)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 again", (200, True, False)),
+        (b"SSH-2.0 hello\r\n\r\n", Refused),
+        (b"", Refused),
+        (b"HTTP/1.1 2", (None, False, False)),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, Refused),
+        (b"HTTP/1.1 OK 200\r\n", Refused),
+        (b"\0noise", Refused),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 3000000000\r\n\r\nx", Refused),
+        (b"HTTP/1.1 500 No\r\nContent-Length: " + b"9" * 2000 + b"\r\n\r\nx", Refused),
+    ],
+)
 def test_an_answer_in_one_read_or_byte_by_byte(data, outcome):
     for size in (1, len(data) or 1):
         call = Call(4096, 100)
@@ -51,8 +60,9 @@
 
         def hear(call=call, size=size):
             for at in range(0, len(data) or 1, size):
-                call.feed(data[at:at + size])
+                call.feed(data[at : at + size])
             return call.status, call.done, call.reusable()
+
         if outcome is Refused:
             with pytest.raises((Refused, EOFError)):
                 hear()
@@ -60,16 +70,22 @@
             assert hear() == outcome
 
 
-@pytest.mark.parametrize("data, first, settled", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 200, False), (b"HTTP/1.1 200 OK\r\nX: y", 200, False),
-    (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", 200, False), (b"HTTP/1.1 200", None, False),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", 200, True),
-    (b"HTTP/1.1 20\r\n\r\n", None, False),
-    (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", 503, False), (b"ok 200\r\n", None, False),
-    (b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nbad", 200, False),
-    (b"HTTP/1.1 103 Hints\r\n\r\n", None, False),
-    (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", 503, True),
-])
+@pytest.mark.parametrize(
+    "data, first, settled",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 200, False),
+        (b"HTTP/1.1 200 OK\r\nX: y", 200, False),
+        (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", 200, False),
+        (b"HTTP/1.1 200", None, False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", 200, True),
+        (b"HTTP/1.1 20\r\n\r\n", None, False),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", 503, False),
+        (b"ok 200\r\n", None, False),
+        (b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nbad", 200, False),
+        (b"HTTP/1.1 103 Hints\r\n\r\n", None, False),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", 503, True),
+    ],
+)
 def test_the_first_line_is_known_though_the_rest_is_spoilt(data, first, settled):
     call = Call(4096, 100)
     call.begin("POST", "/hook", [("Host", "h")])
@@ -84,17 +100,39 @@
     return door.next()
 
 
-@pytest.mark.parametrize("change, to, told", [
-    (b"", b"", {}), (b"1500m", b"2500u", {"left": 2_500_000}), (b"1500m", b"0.5m", {"left": 500_000}),
-    (b"?subject=k", b"", {"key": ""}), (b"Host: r", b"X-Retry: again\r\nHost: r", {"again": True}),
-    (b"Host: r", b"X-Tenant: acme\r\nHost: r", {"customer": "acme"}), (b"/order/x", b"/never", 404),
-    (b"Host: r", b"X-Class: notice\r\nHost: r", 400), (b"m1", b"m" * 200, 400), (b"m1", b"", 400),
-    (b"dest=07", b"dest=-1", 400), (b"Envelope: ", b"Other: ", 400), (b"X-Deadline: ", b"Other: ", 400),
-    (b"1500m", b"1500", 400), (b"1500m", b"1e3m", 400), (b"POST", b"PUT", 405),
-])
+@pytest.mark.parametrize(
+    "change, to, told",
+    [
+        (b"", b"", {}),
+        (b"1500m", b"2500u", {"left": 2_500_000}),
+        (b"1500m", b"0.5m", {"left": 500_000}),
+        (b"?subject=k", b"", {"key": ""}),
+        (b"Host: r", b"X-Retry: again\r\nHost: r", {"again": True}),
+        (b"Host: r", b"X-Tenant: acme\r\nHost: r", {"customer": "acme"}),
+        (b"/order/x", b"/never", 404),
+        (b"Host: r", b"X-Class: notice\r\nHost: r", 400),
+        (b"m1", b"m" * 200, 400),
+        (b"m1", b"", 400),
+        (b"dest=07", b"dest=-1", 400),
+        (b"Envelope: ", b"Other: ", 400),
+        (b"X-Deadline: ", b"Other: ", 400),
+        (b"1500m", b"1500", 400),
+        (b"1500m", b"1e3m", 400),
+        (b"POST", b"PUT", 405),
+    ],
+)
 def test_what_a_client_says(change, to, told):
-    usual = {"name": "m1", "dst": "7", "lane": "order", "left": 1500 * MS, "mark": "q", "customer": "",
-             "again": False, "key": "k", "body": b"he\0lo"}
+    usual = {
+        "name": "m1",
+        "dst": "7",
+        "lane": "order",
+        "left": 1500 * MS,
+        "mark": "q",
+        "customer": "",
+        "again": False,
+        "key": "k",
+        "body": b"he\0lo",
+    }
     if isinstance(told, int):
         with pytest.raises(Refused) as refused:
             words.notice_of(request_of(change, to), {"order": {}, "notice": {}}, 100)
@@ -103,22 +141,37 @@
         assert words.notice_of(request_of(change, to), {"order": {}, "notice": {}}, 100) == usual | told
 
 
-@pytest.mark.parametrize("status, headers, ending", [
-    (200, {}, ("delivered", 0, True)), (500, {}, ("error", 0, False)), (302, {}, ("error", 0, False)),
-    (429, {"wait-ms": "750"}, ("full", 750 * MS, False)), (429, {}, ("full", 0, False)),
-    (429, {"wait-ms": "soon"}, ("full", 0, False)), (503, {}, ("full", 0, False)),
-    (503, {"slots-taken": "1"}, ("unsent", 0, False)), (504, {}, ("unsent", 0, False)),
-    (410, {}, ("unsent", 0, True)),
-])
+@pytest.mark.parametrize(
+    "status, headers, ending",
+    [
+        (200, {}, ("delivered", 0, True)),
+        (500, {}, ("error", 0, False)),
+        (302, {}, ("error", 0, False)),
+        (429, {"wait-ms": "750"}, ("full", 750 * MS, False)),
+        (429, {}, ("full", 0, False)),
+        (429, {"wait-ms": "soon"}, ("full", 0, False)),
+        (503, {}, ("full", 0, False)),
+        (503, {"slots-taken": "1"}, ("unsent", 0, False)),
+        (504, {}, ("unsent", 0, False)),
+        (410, {}, ("unsent", 0, True)),
+    ],
+)
 def test_what_an_answer_means(status, headers, ending):
     assert words.ending_of(status, headers) == ending
 
 
-@pytest.mark.parametrize("text, report", [
-    ("TEXT x0=0.4, x1=25", {"left": 0.4, "limit": 25.0}), ("TEXT x0=0.4", None), (None, None),
-    ("TEXT x0=e, x1=1", None),
-    ("x0=0.1, x1=-5", None), ("x0=0.1, x1=1e999", None), ("TEXT x0=0,x1=0", {"left": 0.0, "limit": 0.0}),
-])
+@pytest.mark.parametrize(
+    "text, report",
+    [
+        ("TEXT x0=0.4, x1=25", {"left": 0.4, "limit": 25.0}),
+        ("TEXT x0=0.4", None),
+        (None, None),
+        ("TEXT x0=e, x1=1", None),
+        ("x0=0.1, x1=-5", None),
+        ("x0=0.1, x1=1e999", None),
+        ("TEXT x0=0,x1=0", {"left": 0.0, "limit": 0.0}),
+    ],
+)
 def test_reports(text, report):
     assert words.report_of(text) == report
 
@@ -132,7 +185,7 @@
     told = orjson.dumps({"index": 5, "snapshot": False, "endpoints": [ENTRY]})
     entry = ("h", "draining", "z", None, "k", "3")
     assert watch.answer(200, told) == ["changes", [entry], {"h": ("127.0.0.1", 80)}]
-    for status, body in ((503, b""), (200, told)):      # a failed call leaves the version as it is
+    for status, body in ((503, b""), (200, told)):  # a failed call leaves the version as it is
         assert watch.index == 5
         if status == 200:
             watch.answer(status, body)
@@ -146,21 +199,49 @@
         assert watch.target(S) == "/v1/endpoints"
 
 
-@pytest.mark.parametrize("settings, expected", [
-    ({"discovery": "pushed", "kinds": ["k", "l"],
-      "family-info": {"per-call": [5, 1], "routes-apart": [True, False], "call-slots": 9}},
-     {"ask": True, "slots": 9,
-      "kinds": {"k": {"apart": True, "per_call": 1}, "l": {"apart": False, "per_call": 1}}}),
-    ({"tick": 5000, "permissions": {"idle-close": 10_000_000, "retry-after": False, "cancel": True}},
-     {"tick": 5 * MS, "idle_close": 10 * S, "stay_away": 0, "cancel": True}),
-    ({"grades": [{"name": "a b", "effect": "token", "deadline": 7, "worth": 2.0, "by-arrival": True}],
-      "parties": [{"name": "t", "quota-per-s": 2.5}]},
-     {"customers": {"t": 2.5},
-      "lanes": {"a b": {"effect": "keyed", "deadline": 7000, "value": 2.0, "ordered": True}}}),
-])
+@pytest.mark.parametrize(
+    "settings, expected",
+    [
+        (
+            {
+                "discovery": "pushed",
+                "kinds": ["k", "l"],
+                "family-info": {"per-call": [5, 1], "routes-apart": [True, False], "call-slots": 9},
+            },
+            {
+                "ask": True,
+                "slots": 9,
+                "kinds": {"k": {"apart": True, "per_call": 1}, "l": {"apart": False, "per_call": 1}},
+            },
+        ),
+        (
+            {"tick": 5000, "permissions": {"idle-close": 10_000_000, "retry-after": False, "cancel": True}},
+            {"tick": 5 * MS, "idle_close": 10 * S, "stay_away": 0, "cancel": True},
+        ),
+        (
+            {
+                "grades": [
+                    {"name": "a b", "effect": "token", "deadline": 7, "worth": 2.0, "by-arrival": True}
+                ],
+                "parties": [{"name": "t", "quota-per-s": 2.5}],
+            },
+            {
+                "customers": {"t": 2.5},
+                "lanes": {"a b": {"effect": "keyed", "deadline": 7000, "value": 2.0, "ordered": True}},
+            },
+        ),
+    ],
+)
 def test_what_is_read_at_start(tmp_path, settings, expected):
-    told = {"name": "n", "listen": "127.0.0.4:8081", "discovery": "127.0.0.1:8500", "seed": "ff",
-            "known": None, "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "settings": settings}
+    told = {
+        "name": "n",
+        "listen": "127.0.0.4:8081",
+        "discovery": "127.0.0.1:8500",
+        "seed": "ff",
+        "known": None,
+        "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "settings": settings,
+    }
     (tmp_path / "c").write_bytes(orjson.dumps(told))
     read = config.read({"ROUTER_CONFIG": str(tmp_path / "c"), "ROUTER_STATE": "/s"})
     assert expected.items() <= read["terms"].items()
