--- a/courseroute/town/relays.py
+++ b/courseroute/town/relays.py
@@ -29,6 +29,7 @@
         self.config, self.process, self.lives = self.folder / "relay.toml", None, 0
         self.wanted = False         # it is meant to run: an end is a crash
         self.paused = False         # stopped from outside for a while
+        self.served = False         # this life was ready once
         self.most = {"memory_kb": 0, "descriptors": 0, "disk_kb": 0}
         self.cpu = self.life_cpu = 0.0      # seconds, of the lives that ended and of this one
 
@@ -58,7 +59,7 @@
 
     def start(self, relay):
         relay.lives += 1
-        relay.wanted = True
+        relay.wanted, relay.served = True, False
         limit = self.day.relays.descriptors
         environ = os.environ | {"ROUTER_CONFIG": str(relay.config), "ROUTER_STATE": str(relay.state)}
         with open(relay.folder / "log", "ab") as log:
@@ -72,6 +73,7 @@
         with trio.move_on_after(within):
             while relay.process is not None and relay.process.poll() is None:
                 if await self.asks_ready(relay):
+                    relay.served = True
                     self.tell("relay", self.clock(), relay=relay.name, now="ready")
                     self.front(relay.number, True)
                     return True
@@ -174,7 +176,7 @@
             relay.process.kill()
             self.tell("relay", self.clock(), relay=relay.name, now="crashed",
                       text="it had not ended 3.7 s after SIGTERM")
-        elif relay.process.returncode != 0:
+        elif relay.process.returncode not in ((0,) if relay.served else (0, -signal.SIGTERM)):
             self.tell("relay", self.clock(), relay=relay.name, now="crashed",
                       text=f"exit code {relay.process.returncode} after SIGTERM")
 
