The test of bytes on their way waits for the attempt's end before it lets them pass

Seen on reading it again: it let the bytes pass 160 ms after the relay should have given the attempt up, so that a relay starved for longer would have failed it. It waits for the message's end now, holds from the log that the attempt did not last until its time-out, and then lets the bytes pass. Without the fix it fails as before.

--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -72,10 +72,13 @@
     town.plan = lose_first_answer
     town.start()
     assert town.hand_in("a", "order", LARGE_BODY) == 202
+    assert until(lambda: town.notices)
     wait_until_window_is_over(town)
+    endings = [event["ending"] for event in town.events() if event["event"] == "attempt ended"]
+    assert "timeout" not in endings  # it was given up for its window, before its time-out
     for proxy in proxies:
         proxy.pass_bytes()
-    assert until(lambda: town.notices or len(town.calls) > 1)
+    assert not until(lambda: len(town.calls) > 1, 0.5)
     assert_not_repeated(town)
 
 
