--- a/courseroute/command/main.py
+++ b/courseroute/command/main.py
@@ -14,6 +14,7 @@
 
 from courseroute.checked import Bad, made, read
 from courseroute.command import show
+from courseroute.command.lab import lab
 from courseroute.run.setup import Setup
 
 FILE = click.argument("file", type=click.Path(dir_okay=False))
@@ -71,6 +72,9 @@
     click.echo(get_completion_class(shell)(cli, {}, "courseroute", "_COURSEROUTE_COMPLETE").source())
 
 
+cli.add_command(lab)
+
+
 # Configuration.
 
 
--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -23,20 +23,37 @@
 BOUND, BRIEF = 4.5, 3 * S       # evidence that sets a host aside; a shorter silence is no outage
 ASIDE, SPREAD = 1 * S, 4        # set aside so long, and up to half more; tries spread over so many outages
 RENEW, LEVEL = 1 * S, 2         # ranks are renewed so often; calls before the next in rank gets one
+GROWN = 1.05                    # a budget so many times the one booked under: booked anew
 PATIENCE, LEAST_PATIENCE, MOST_PATIENCE = 6, 1500 * MS, 3 * S   # time-out: so many slow calls, within bounds
+OVERTAKEN, TOO_SLOW = 2, 3      # later calls of a host that came back, and so many slow calls: a call is lost
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
-SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
+SMOOTH, STEP = 0.1, 1.5         # weight of a new reported limit; so many times off it is another limit
+ROUGH = 1.5                     # a rough rate is at most so many times high
 WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
-OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual"
+OF_ROUTE = ("headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual",
+            "spent_from", "spent")
 OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"       # these outlast a restart
 USUAL_SPAN = 4 * S              # the pace before an outage is counted over two such spans, the last one begun
 HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
-    "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
-    "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
-    "read_within": 2 * S, "write_within": 2 * S, "list_within": 2 * S, "notice_within": S // 4,
-    "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2}
+    "kept_list": 0.05, "learned": 0.02, "orders": 0.01, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20,
+    "name": 256, "ends": 1024, "legs": 8, "backlog": 512, "operators": 16, "baton": 5 * MS,
+    "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250, "drain_takes": S, "home_within": 3 * S,
+    "see_off": 25 * MS, "read_within": 2700 * MS, "write_within": 2 * S, "list_within": 2 * S,
+    "notice_within": S // 4, "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5,
+    "sweep": S // 2}
+
+
+HUSH, CROWD = 50 * MS, 0.25     # longer without a first byte is silence; so many silent ones are a crowd
+
+
+def seen_off(waits, crowd):
+    """In a full house, the kinds of connections that make room, first to last. `waits`: how long the longest
+    silence among them is, by kind: silent (never a byte came), half (of a first request), idle (between
+    requests); `crowd`: the silent ones' share of all."""
+    later = ("idle", "half") if waits["idle"] >= min(HUSH, waits["half"]) else ("half", "idle")
+    return ("silent", *later) if waits["silent"] >= HUSH or crowd > CROWD else (*later, "silent")
 
 
 class Dispatcher(Agenda):
@@ -44,11 +61,12 @@
         super().__init__()
         self.terms = terms
         self.draw = random.Random(seed).uniform
-        self.lanes, self.dsts, self.hosts = {}, {}, {}
+        self.lanes, self.dsts, self.hosts, self.banned = {}, {}, {}, {}
         self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(self.at), {}
         self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
         self.idled = Odds(EDGES[::3], 4 * MEMORY)   # lost calls by idle time, of new connections none
-        self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
+        self.busy, self.watched, self.asks, self.failed = 0, None, 0, 0
+        self.closing, self.handing = 1 << 63, False     # when legs end by a stop; whether none may leave
         self.nowhere = Destination(None)    # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
@@ -72,11 +90,20 @@
             self.watched, self.failed = now, 0
         if scope != "changes":
             for host in self.hosts.values():
-                host.listed, host.gone = False, host.gone or now
+                host.active, host.listed, host.gone = False, False, host.gone or now
         for name, state, area, rate, kind, where in entries:
             host = self.hosts.get(name) or self.join(name, kind, where)
-            host.listed, host.area, host.rate = state == "ready", area, rate
+            host.active, host.area, host.rate = state == "ready", area, rate
+            host.listed = host.active and name not in self.banned
             host.gone = (host.gone or now) if state == "gone" else None
+        self.reroute(now)
+        for host in list(self.hosts.values()):
+            if host.gone and now - host.gone > FORGET and not host.legs:
+                self.part(now, host)
+        return self.said()
+
+    def reroute(self, now):
+        """Who may get new work is not who it was."""
         for dst in self.dsts.values():
             for rt in dst.routes:
                 if rt.held and not any(host.listed for host in rt.hosts):
@@ -84,11 +111,32 @@
             stranded, dst.stranded = dst.stranded, []
             for msg in (msg for msg in stranded if not msg.over):
                 self.book(now, msg)
-        for host in list(self.hosts.values()):
-            if host.gone and now - host.gone > FORGET and not host.legs:
-                self.part(now, host)
+
+    def ban(self, now, name, since):
+        """Staff's word, whatever the list says: nothing new to that host until `lift`."""
+        self.banned[name] = since
+        self.log(f"host {name}: down by hand")
+        if host := self.hosts.get(name):
+            host.listed = False
+            self.note_pace(host)
+            self.reroute(now)
+            self.acts.append(("close", name))
+        return self.said()
+
+    def lift(self, now, name):
+        """It may serve again. It was restarted meanwhile: it returns as one that was out, however briefly."""
+        since, host = self.banned.pop(name, now), self.hosts.get(name)
+        self.log(f"host {name}: up by hand")
+        if host:
+            host.listed, host.trial, host.climb, host.aside, host.rest = host.active, True, now, now, now
+            host.out = max(now - since, BRIEF + MS)
+            self.reroute(now)
         return self.said()
 
+    def knows(self, name):
+        """Whether the list has, or a moment ago had, that host, or staff took it out."""
+        return name in self.hosts or name in self.banned
+
     def part(self, now, host):
         """All that is kept of a host ends with it, a destination with its last one: ids are always new."""
         rt, dst = host.route, host.dst
@@ -114,6 +162,7 @@
             if host := self.hosts.get(name):
                 rt = host.route
                 set_parts(rt, OF_ROUTE, of_route)
+                rt.second, rt.used = rt.spent_from, rt.spent    # what left in this second counts in this life
                 rt.headroom += max(0.0, MOST - rt.headroom) * min(1.0, age / FORGET)
                 if age < FORGET:
                     set_parts(host, OF_HOST, of_host)
@@ -121,40 +170,69 @@
                     rt.refused, rt.learned, rt.usual = None, 0.0, 0.0
         return self.said()
 
-    def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=()):
-        """`legs` are those of an earlier life: (host, sent at, ending); one still out then may have run."""
+    def take(self, now, name, where, lane, deadline, key=None, customer=None, again=False, legs=None):
+        """`legs` are those of the earlier life that took it on: (host, sent at, ending); one still out then
+        may have run, but where its ending is "out": that life is there yet, and its outcome will be told."""
+        kept, legs = legs is not None, legs or ()
         lane = self.lanes.get(lane) or self.lanes.setdefault(lane, Lane(lane, calls=Histogram(EDGES, MEMORY)))
         dst = self.dsts.get(where, self.nowhere) if self.hosts else self.destination(where)
         deadline = min(deadline, now + (lane.deadline or 1 << 62))      # or odd ones would be kept for ever
         msg = self.open[name] = Message(name, dst, lane, deadline, key, customer, again)
-        doubtful, msg.sent = [leg for leg in legs if leg[2] not in NEVER_RAN], len(legs)
+        out = [(n, *leg) for n, leg in enumerate(legs) if leg[2] == "out" and leg[0] in self.hosts]
+        sure, msg.sent = [n for n, *_ in out], len(legs)
+        doubtful = [leg for n, leg in enumerate(legs) if leg[2] not in NEVER_RAN and n not in sure]
         if doubtful:
             msg.first, msg.ran, msg.last_host = doubtful[0][1], True, self.hosts.get(doubtful[-1][0])
             if msg.key and msg.lane.ordered:
                 self.turns.setdefault(msg.key, Turn()).rest = now + self.terms.get("turn_gap", 0)
+        for n, host, at, _ in out:
+            self.count_out(Leg(msg, n, self.hosts[host], at, deadline, Call(self.hosts[host], at, 1)))
         self.at(deadline - self.margin, self.end, msg)
         self.at(self.late(msg), self.drop_late, msg)
-        if self.admit(now, msg) and self.turn(now, msg):
+        if (msg.out or self.admit(now, msg, kept)) and self.turn(now, msg) and not msg.out:
             self.book(now, msg)
         return self.said()
 
+    def count_out(self, leg):
+        msg, host, call = leg.msg, leg.host, leg.call
+        if not call.left:
+            self.busy, host.calls, host.route.calls = self.busy + 1, host.calls + 1, host.route.calls + 1
+        call.left += 1
+        self.legs[(msg.name, leg.n)] = host.legs[(msg.name, leg.n)] = leg
+        msg.out, msg.last_host = msg.out + 1, host
+        msg.first = msg.first if msg.first is not None else leg.at
+
     def withdraw(self, now, name):
         if name in self.open:
             self.finish(now, self.open[name])
         return self.said()
 
     def may_leave(self, now, name, n):
-        """Asked when a call's connection is up: a wait, or a drain, may have been told since it was sent."""
+        """Asked when a call's connection is up: a wait, or a drain, may have been told since it was sent, and
+        a repeat's window may have closed."""
         leg = self.legs.get((name, n))
-        return leg is not None and not leg.msg.over and leg.host.listed and now >= leg.host.route.wait
+        if leg is None or leg.msg.over or self.handing or now < leg.host.route.wait:
+            return False
+        first = leg.msg.out == 1 and not leg.msg.ran
+        return leg.host.listed and (first or self.repeats(now, leg.msg))
+
+    def hosts_seen(self, now):
+        """(hosts on the list, those of them that get nothing new now)"""
+        known = [host for host in self.hosts.values() if host.gone is None]
+        return len(known), sum(not host.listed or host.trial and now < host.rest for host in known)
 
     def stop(self, now):
         """What can't be sent before the end is given back to other relays, where that is harmless."""
-        self.closing = now + LAST_SEND
+        self.closing, self.handing = now + LAST_SEND, False
         self.at(self.closing, self.give_back)
         self.at(now + LEAVE, lambda now: self.acts.append(("exit",)))
         return self.said()
 
+    def hand_over(self, now):
+        """A successor waits for all that is held: no leg leaves any more, and nothing is given back."""
+        self.handing = True
+        return self.said()
+
     def give_back(self, now):
         for msg in [msg for msg in self.open.values() if not msg.out and self.harmless(now, msg)]:
             self.end(now, msg)
@@ -179,8 +257,9 @@
         if not (msg.ran or msg.out):
             msg.first = None
         if report:
-            told = report["limit"]      # noisy: smoothed, but nought and a first figure count at once
-            rt.reported = told if not (told and rt.reported) else rt.reported + (told - rt.reported) * SMOOTH
+            told, old = report["limit"], rt.reported    # noisy: smoothed, but nought, a first figure and one
+            near = told and old and old / STEP < told < old * STEP              # far off count at once
+            rt.reported = old + (told - old) * SMOOTH if near else told
         alone = ending == "full" and self.refusal(now, rt, wait)
         if ending == "delivered":
             host.times.add(took)
@@ -188,6 +267,7 @@
             msg.lane.calls.add(took)
             rt.served.add(now)
             rt.before.add(now)
+            self.overtake(now, host, leg)
         self.keep_connection(host, ending, idle)
         self.measured[msg.dst.where] = msg.dst
         self.judge(now, host, ending, leg, alone)
@@ -203,9 +283,22 @@
             self.pass_turn(now, msg)
         return self.said()
 
+    def overtake(self, now, host, back):
+        """Guards against slots held until time-out by calls whose connection fell silent: later ones came
+        back. Once a message, lest one that takes long anywhere never ends."""
+        for leg in host.legs.values():
+            leg.passed += leg.at < back.at
+            if leg.passed == OVERTAKEN and not leg.n and leg.at < back.at:
+                self.at(leg.at + int(TOO_SLOW * host.times.quantile(0.9)), self.give_up, leg)
+
+    def give_up(self, now, leg):
+        msg, alone = leg.msg, leg.call.size == 1 and self.legs.get((leg.msg.name, leg.n)) is leg
+        if alone and not msg.over and self.terms.get("cancel") and self.may_send(now, msg):
+            self.acts.append(("cancel", msg.name, leg.n))
+
     def settle(self, now):
         self.run_due(now)
-        if now < self.closing:
+        if now < self.closing and not self.handing:
             self.release(now)
         self.arm(now)
         return self.said()
@@ -251,20 +344,21 @@
             dst.routes.sort(key=lambda rt: standing(rt.hosts[0]))
         self.measured.clear()
         for rt in {msg.route.index: msg.route for msg in self.open.values() if msg.route}.values():
-            if self.budget(now, rt) and rt.booked < rt.headroom:
+            if rt.booked * GROWN < (self.budget(now, rt) or 0):
                 self.rebook(now, rt)    # what was booked under a smaller budget would stay late
         self.at(now + RENEW, self.rank)
 
-    def admit(self, now, msg):
-        """One destination may hold as much as is still free: its backlog must not shut out the others."""
-        quota = self.terms.get("customers", {}).get(msg.customer, 0) / self.relays
+    def admit(self, now, msg, kept):
+        """One destination may hold as much as is still free: its backlog must not shut out the others. `kept`
+        from an earlier life: judged there, and all at one instant here, they would seem beyond any share."""
+        quota = 0 if kept else self.terms.get("customers", {}).get(msg.customer, 0) / self.relays
         if quota:       # beyond its share a message is worth little: it may wait for its target time only
             at, left = self.shares.get(msg.customer, (now, 1 << 30))
             left = min(max(1.0, quota * SHARE_SPAN / S), left + quota * (now - at) / S)
             msg.over_share = left < 1
             self.shares[msg.customer] = now, left - (not msg.over_share)
         free = self.terms.get("room", 1 << 30) - len(self.open) - sum(len(rt.held) for rt in msg.dst.routes)
-        if msg.dst is self.nowhere or now >= self.late(msg) or free < 0:
+        if msg.dst is self.nowhere or now >= self.late(msg) or free < 0 and not kept:
             self.end(now, msg)
         return not msg.over
 
@@ -314,14 +408,15 @@
         return rt.headroom * self.limit(rt)
 
     def refusal(self, now, rt, wait):
-        """Cuts the budget; tells if nothing was delivered since the last cut: who is shut refuses all."""
+        """Cuts the budget, but where nothing was delivered since the last cut, and tells if so: who is shut
+        refuses all, and that says nothing of the pace."""
         fresh = rt.refused is None or now - rt.cut >= S
         alone = fresh and rt.refused is not None and rt.cut > rt.heard
         if rt.refused is None or rt.reported == 0:
             rt.headroom, rt.learned = HEADROOM, max(LEAST, rt.served.most(now))
             if fresh:
                 self.log(f"route {rt.index}: budget begins at {rt.headroom * self.limit(rt):.2f}/s")
-        elif fresh:
+        elif fresh and not alone:
             rt.headroom = max(rt.headroom * CUT, min(rt.headroom, LEAST / self.relays / self.limit(rt)))
         rt.cut, rt.strict = now if fresh else rt.cut, alone or rt.strict and rt.refused is not None
         rt.refused = rt.grown = now
@@ -377,7 +472,7 @@
         kept = 0 if due_too else sum(msg.due <= now for msg in rt.held.values())
         moved = [msg for msg in rt.held.values() if due_too or msg.due > now]
         rt.second, rt.used, rt.riders = rt.spent_from, rt.spent + kept, 0
-        rt.booked = rt.headroom
+        rt.booked = self.budget(now, rt) or 0.0
         for msg in moved:
             del rt.held[msg.name]
             msg.route = None
@@ -427,7 +522,6 @@
         until = min(now + (LEAST_PATIENCE if host.trial else self.patience(host)), msg.deadline - self.margin)
         if not self.rides(now, host):
             host.open_call = Call(host, now)
-            self.busy, host.calls, rt.calls = self.busy + 1, host.calls + 1, rt.calls + 1
             second = now // S * S
             if second > rt.spent_from:
                 paid = (self.budget(now, rt) or rt.spent) * (second - rt.spent_from) / S
@@ -435,13 +529,11 @@
             rt.spent += 1
             if host.climb is not None:
                 host.rest = now + max(self.spacing(now, host), LEAST_PATIENCE * host.trial)
-        call, n = host.open_call, msg.sent
-        call.size, call.left = call.size + 1, call.left + 1
+        host.open_call.size += 1
         del rt.held[msg.name]
-        msg.route, msg.last_host = None, host
-        self.legs[(msg.name, n)] = host.legs[(msg.name, n)] = Leg(msg, n, host, now, until, call)
-        msg.first = msg.first if msg.first is not None else now
-        msg.sent, msg.out = n + 1, msg.out + 1
+        msg.route = None
+        self.count_out(Leg(msg, msg.sent, host, now, until, host.open_call))
+        msg.sent += 1
         self.acts.append(("send", msg.name, host.name, until))
 
     def judge(self, now, host, ending, leg, alone):
@@ -466,13 +558,19 @@
         """All relays that saw it fail try it again, and their tries can push it over: they are spaced."""
         self.log(f"host {host.index}: set aside on {ending}, evidence {host.evidence:.1f}")
         host.ill = ill if host.ill is None else host.ill
-        if host.climb is None:      # what it took before is known to be within its limits, whatever these are
-            host.route.usual = (host.route.before.last + host.route.before.count) * S / (2 * USUAL_SPAN)
+        self.note_pace(host)
         host.trial, host.climb, host.aside, host.out = True, now, now, now - host.ill
-        host.rest = now + ASIDE + int(self.draw(0, max(ASIDE / 2, 2 * (self.spacing(now, host) - ASIDE))))
+        pause = self.spacing(now, host)
+        least = min(ASIDE, pause // 2) if ending == "error" else ASIDE  # one that answers may deliver some
+        host.rest = now + least + int(self.draw(0, max(least / 2, 2 * (pause - least))))
         if len(host.dst.routes) > 1:
             self.rebook(now, host.route, True)
 
+    def note_pace(self, host):
+        """What a host took before it is out is known to be within its limits, whatever these are."""
+        if host.climb is None:
+            host.route.usual = (host.route.before.last + host.route.before.count) * S / (2 * USUAL_SPAN)
+
     def fresh_for(self, now):
         """So long may a kept connection have stood idle: longer ones are lost more often than new ones."""
         return self.idled.sound_below(LOSSY)
@@ -505,9 +603,12 @@
     def may_send(self, when, msg):
         if msg.sent >= self.terms.get("legs", 1 << 30):
             return False
-        if msg.lane.effect == "retriable" or msg.first is None:
-            return True
-        return msg.lane.effect == "keyed" and when < msg.first + msg.lane.window - self.margin
+        return msg.first is None or self.repeats(when, msg)
+
+    def repeats(self, when, msg):
+        """Whether a leg that leaves then is harmless beside one that may have run."""
+        ends = msg.first + msg.lane.window - self.margin
+        return msg.lane.effect == "retriable" or msg.lane.effect == "keyed" and when < ends
 
     def drop_late(self, now, msg):
         """Guards against sending what can no longer be delivered in time."""
--- a/courseroute/journal/replay.py
+++ b/courseroute/journal/replay.py
@@ -33,6 +33,8 @@
             self.held[name] = Kept(told, body)
         elif kind == CALL and kept is not None and len(kept.legs) == told[1]:
             kept.legs.append(list(told[2:]))
+        elif kind == CALL and kept is not None and told[1] < len(kept.legs) and told[4] is not None:
+            kept.legs[told[1]][2] = told[4]     # a copy: the outcome's own record may be gone
         elif kind == BACK and kept is not None and told[1] < len(kept.legs):
             kept.legs[told[1]][2] = told[2]
         elif kind in (OWED, OVER):
@@ -44,6 +46,11 @@
             if self.most_ends is not None and len(self.ends) > self.most_ends:
                 self.ends.popitem(last=False)
 
+    def gone(self, name):
+        """Nothing of it stands in the journal any more."""
+        self.held.pop(name, None)
+        self.owed.pop(name, None)
+
     def finish(self):
         """No more records come: what is doubtful gets a leg that may have run, nobody knows when."""
         for name in sorted(self.doubtful & self.held.keys()):
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -6,6 +6,7 @@
 names the segments that still hold the message, and is copied on while one of them stands. Called by the desk,
 which says what is live (`refresh`), and by `run.relay` (`step`).
 """
+import contextlib
 import random
 import time
 from typing import NamedTuple
@@ -18,6 +19,7 @@
 LOOKED_AT = 256         # messages looked at between two looks at the clock
 LEGS = (CALL, BACK)
 DAMAGE = b"?"           # a stretch that could not be read, as a record of its own kind
+GONE = b"-"             # so a message none of whose records stands: it is over
 
 
 class Full(Exception):
@@ -67,6 +69,7 @@
         self.entries, self.ended_in = {}, {}    # ended_in: segment -> [(segment of the end's record, bytes)]
         self.handle, self.newest, self.live = None, 0, 0
         self.refresh = None             # a method: the records of a message that is held or owed, else []
+        self.sound = True               # nothing odd was met where it was read ahead
         self.remembered = None          # a method: whether a message's end is still to be known
         self.work = None                # the compaction under way
         self.total, self.dead_seen = 0, 0       # bytes on the disk; the dead ones when none paid to compact
@@ -77,11 +80,16 @@
 
     def read(self):
         """Yields all records of earlier lives in order, as (kind, fields, body); DAMAGE with a Loss where
-        bytes are bad. Ends that a crash tore are cut off. Newer where a file is of a later version."""
+        bytes are bad; GONE of a message that was read ahead and is over. Ends that a crash tore are cut off.
+        Newer where a file is of a later version."""
         names = self.disk.names()
         if old.NAME in names:
             self.convert(names)
-        for name in self.names():
+        names = self.names()
+        self.let_go(names)
+        for name in names:
+            if self.number(name) in self.segments:
+                continue
             data = self.disk.read(name)
             number = frames.header_of(data, name)
             if number is None or name != self.name(number):
@@ -93,18 +101,54 @@
                     yield DAMAGE, self.losses[-1], b""
                 continue
             self.sized(number, len(data))
-            last = name == self.names()[-1]
             for one in frames.scan(data):
                 if one.kind is not None:
-                    self.place(one.kind, one.told, number, one.end - one.at)
-                    yield one.kind, one.told, one.body
-                elif one.torn or last and one.end == len(data) and data[one.at:one.at + 2] != frames.RECORD:
+                    yield self.placed(one, number)
+                elif one.torn or name == names[-1] and one.end == len(data) and (
+                        data[one.at:one.at + 2] != frames.RECORD):
                     self.disk.cut(name, one.at)
                     self.sized(number, one.at)
                 else:
                     self.losses.append(Loss(number, one.at, one.end - one.at))
                     yield DAMAGE, self.losses[-1], b""
             self.newest = max(self.newest, number)
+        for name in [name for name, entry in self.entries.items() if not self.standing(entry)]:
+            self.forget(self.entries.pop(name))
+            yield GONE, [name], b""
+
+    def read_ahead(self):
+        """The records, as `read` has them, of one more closed segment of a journal that another writes; None
+        where there is none. Touches nothing; what looks odd, and all behind it, is left to `read`. OSError
+        where one can't be read: those behind it must not be read before it."""
+        for name in self.names()[:-1] if self.sound else ():
+            if self.number(name) in self.segments:
+                continue
+            try:
+                data = self.disk.read(name)
+            except FileNotFoundError:       # compacted meanwhile: its live records stand behind
+                continue
+            found = list(frames.scan(data)) if frames.header_of(data, name) == self.number(name) else [None]
+            self.sound = all(one is not None and one.kind is not None for one in found)
+            if not self.sound:
+                return None
+            self.sized(self.number(name), len(data))
+            return [self.placed(one, self.number(name)) for one in found]
+        return None
+
+    def placed(self, one, number):
+        self.place(one.kind, one.told, number, one.end - one.at)
+        return one.kind, one.told, one.body
+
+    def let_go(self, names):
+        """Segments that were read ahead and are gone since."""
+        for number in [number for number in self.segments if self.name(number) not in names]:
+            self.removed(number)
+
+    def look(self):
+        """Raises Newer where a segment is of a later version; touches nothing, another may write here."""
+        for name in self.names():
+            with contextlib.suppress(OSError):
+                frames.header_of(self.disk.read(name, 0, frames.HEADER.size), name)
 
     def names(self):
         return [name for name in self.disk.names() if name.startswith(PREFIX)]
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -49,6 +49,13 @@
 
 
 def desk_on(disk, most=MOST, syncs=False):
+    desk = desk_before(disk, most, syncs)
+    desk.recover()
+    return desk
+
+
+def desk_before(disk, most=MOST, syncs=False):
+    """A desk that has not read its journal yet."""
     ticks = itertools.count(0, TICK)        # no real time: the same script makes the same calls
     salts = itertools.count(7)
     journal = Journal(disk, most, "n0", syncs, lambda: next(ticks), lambda: next(salts))
@@ -58,7 +65,6 @@
                 lambda event, **told: said.append((event, told)))
     desk.hosts = desk.notices = Quiet()
     desk.ready, desk.said = True, said
-    desk.recover()
     return desk
 
 
@@ -206,6 +212,28 @@
     return disk.crash_at <= disk.calls, bool(disk.fails) or disk.room is not None
 
 
+def read_ahead(seed, length):
+    """One random script, another desk reading its journal ahead now and then until it takes over, wherever
+    the first one ends: it must know what a desk knows that reads all at once. Segments it read."""
+    draw = random.Random(seed)
+    disk, model, read = FaultyDisk(draw.choice((None, 35_000))), Model(), 0
+    one, two = desk_on(disk), desk_before(disk)
+    often = draw.choice((0.02, 0.1, 0.5))
+    for act in script(seed, draw.randrange(1, length)):
+        model.act(one, *act)
+        if draw.random() < often:
+            read += two.read_ahead()
+    plain = desk_on(disk.after())
+    two.recover()
+    model.check(two)
+    assert {name: msg.legs for name, msg in two.held.items()} == {
+        name: msg.legs for name, msg in plain.held.items()}, f"seed {seed}: held otherwise"
+    assert two.owed == plain.owed, f"seed {seed}: owed otherwise"
+    live = ({number: told[1] for number, told in desk.log.segments.items()} for desk in (two, plain))
+    assert all(0 <= bytes_live <= two.log.segments[number][0] for number, bytes_live in next(live).items())
+    return read
+
+
 def complain(event, **told):
     raise AssertionError(f"{event}: {told}")
 
@@ -224,11 +252,12 @@
                 learned.keep([["host", [count], ["x" * 4000]]], count)
                 os.write(into, count.to_bytes(8, "little"))
         os.close(into)
+        told = os.read(out, 8)      # it is at work: how soon that is depends on the machine
         time.sleep(draw.uniform(0, 0.02))
         os.kill(child, signal.SIGKILL)
         os.waitpid(child, 0)
         with open(out, "rb") as pipe:
-            told = pipe.read()
+            told += pipe.read()
         if told:
             seen, last = seen + len(told) // 8, int.from_bytes(told[-8:], "little")
         found, at = Learned(folder, complain).read()
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -12,12 +12,19 @@
     memory(now)                                 asked now and then: what the next life is to know, plain lists
     recall(now, told, at)                       that, told after the list of a new life, and when it was kept
     take(now, name, dst, lane, deadline, key, customer, again, legs)
-                                                legs of an earlier life, each (host, sent at, ending or None)
+                                                legs of the earlier life that took it on, else None; each
+                                                (host, sent at, ending or None; "out" where that life is still
+                                                there and will tell)
     withdraw(now, name)                         nobody wants the message any more
     outcome(now, name, n, host, ending, took, wait, report, over, idle)
                                                 idle: how long the connection had stood so, None for a new one
     fresh_for(now)                              how long a connection may have stood idle to be used again
     may_leave(now, name, n)                     a call's connection is up: True if it may still leave
+    ban(now, name, since)                       staff: nothing new to that host, whatever the list says
+    lift(now, name)                             staff: it may serve again
+    knows(name)                                 whether the list has or had that host, or staff took it out
+    hand_over(now)                              a successor waits: no leg leaves any more
+    hosts_seen(now)                             (hosts on the list, those of them that are avoided now)
     stop(now)                                   the relay is asked to end
     wake(now)                                   an asked-for wake-up
     settle(now)                                 the batch is read: held messages are released
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -55,6 +55,7 @@
     at: int
     until: int
     call: Call
+    passed: int = 0                     # later legs to its host that were delivered before it
 
 
 @dataclass(slots=True, eq=False)
@@ -66,7 +67,8 @@
     kind: str = ""
     area: str = ""
     rate: float | None = None
-    listed: bool = True                 # may get new work
+    active: bool = True                 # the list's word
+    listed: bool = True                 # may get new work: so say the list and staff
     gone: int | None = None             # no more on the list since
     calls: int = 0
     legs: dict = field(default_factory=dict)
@@ -99,7 +101,7 @@
     cut: int = 0
     strict: bool = False                # it refused all for a second
     heard: int = 0                      # last delivered
-    booked: float = 0.0                 # headroom under which the held ones were booked
+    booked: float = 0.0                 # budget under which the held ones were booked
     grown: int = 0
     spent_from: int = 0
     spent: int = 0
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -4,6 +4,7 @@
 """
 import os
 import random
+import stat
 
 import msgspec
 import orjson
@@ -15,7 +16,8 @@
 from courseroute.wire.words import place_of
 
 PLATFORM = {"listen": "ROUTER_LISTEN", "directory": "ROUTER_DISCOVERY", "state": "ROUTER_STATE",
-            "name": "ROUTER_NAME"}
+            "name": "ROUTER_NAME", "ops": "ROUTER_OPS"}
+SOCKET = "ROUTER_SOCKET_FD"
 
 
 def read(environ=os.environ):
@@ -23,9 +25,26 @@
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise Bad("ROUTER_CONFIG", [Mistake("", "no such variable", "the path of a configuration file")])
-    if path.endswith(".toml"):
-        return figures(made(read_toml(path), Setup, path))
-    return read_platform(path, environ)
+    told = read_installation(path) if path.endswith(".toml") else read_platform(path, environ)
+    return told | {"socket": socket_of(environ.get(SOCKET))}
+
+
+def read_installation(path):
+    return figures(made(read_toml(path), Setup, path))
+
+
+def socket_of(text):
+    """The descriptor of a clients' socket that whoever starts the relay holds; None where there is none."""
+    if text is None or text.isdigit() and is_socket(int(text)):
+        return text and int(text)
+    raise Bad(SOCKET, [Mistake("", text, "the number of a descriptor that is a socket")])
+
+
+def is_socket(number):
+    try:
+        return stat.S_ISSOCK(os.fstat(number).st_mode)
+    except OSError:
+        return False
 
 
 def read_platform(path, environ):
@@ -62,6 +81,7 @@
     terms["ask"] = True             # on sockets the list answers only when asked
     return {
         "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
+        "ops": place_of(setup.ops) if setup.ops else None,
         "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
         "log": msgspec.structs.asdict(setup.log), "sync": setup.journal.sync,
         "sync_every": span(setup.journal.every),
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -98,6 +98,7 @@
     name: str = "relay"
     listen: Place
     directory: Place
+    ops: Place | None = None    # the second address, for staff; none: off
     state: str
     seed: Seed = ""             # empty: drawn at each start
     limits: Limits = msgspec.field(default_factory=Limits)
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -9,7 +9,8 @@
 from courseroute.journal import frames as records
 from courseroute.journal.frames import record
 from courseroute.journal.replay import Replay
-from courseroute.journal.store import DAMAGE, Full
+from courseroute.journal.store import DAMAGE, GONE, Full
+from courseroute.state.tally import Tally
 from courseroute.wire import words
 
 LEG, NOTICE, END = 160, 80, 40      # bytes of such a record in the log, beside the message's name
@@ -43,28 +44,33 @@
         self.ends = OrderedDict()           # name -> delivered, returned, failed or over
         self.hosts = self.notices = self.discovery = self.alarm = self.leave = self.see_off = None
         self.waiting, self.telling, self.ready = deque(), False, False
+        self.draining = None                # when staff asked to empty the relay
+        self.handed = None                  # how another process, which holds all this by now, is told
+        self.tally = Tally(terms["lanes"])
         self.syncer = None
         self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
         self.withheld = {}                  # ends not told yet, as they are not written: name -> deadline
         self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
+        self.replay = Replay(house["ends"])     # what the log's records come to, until that is told on
         log.refresh, log.remembered = self.live_records, self.ends.__contains__
 
     # Clients.
 
-    def answer(self, request, gone):
-        """The answer to a request: (status, headers, body)."""
+    def answer(self, request, gone, crowded=False):
+        """The answer to a request: (status, headers, body); `crowded`: its connection has no room."""
         if request.target in ("/ready", "/health"):
-            return (200 if self.ready or request.target == "/health" else 503), (), b""
+            serves = (self.ready or self.handed is not None) and self.draining is None
+            return (200 if serves or request.target == "/health" else 503), (), b""
         try:
             told = words.notice_of(request, self.terms["lanes"], self.house["name"])
         except words.Refused as cause:
             return cause.status, (), f"{cause}\n".encode()
-        status, after = self.take(told, gone)
+        status, after = self.take(told, gone, crowded)
         return status, ([("Retry-After", f"{after / 1e9:.3f}")] if after else ()), b""
 
-    def take(self, told, gone):
+    def take(self, told, gone, crowded=False):
         name = told["name"]
         if name in self.held:       # handed in once more, as its answer may have been lost
             return 202, 0
@@ -73,8 +79,10 @@
         now = self.clock()
         msg = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
-        if gone or not self.ready or not self.room(self.measure(msg)):
-            return 503, 0
+        shut = self.draining is not None and now >= self.draining + self.house["drain_takes"]
+        if gone or crowded or shut or not self.ready or not self.room(self.measure(msg)):
+            self.tally.end(msg.lane, "returned")
+            return 503, self.terms.get("stay_away", 0) if shut else 0
         self.held[name] = msg
         self.count(msg.size)
         self.tell("take", name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again)
@@ -84,6 +92,7 @@
             except Full as cause:
                 self.fault(cause)
                 self.forget(msg, None)
+                self.tally.end(msg.lane, "returned")
                 self.tell("withdraw", name)
                 return 503, 0
             return 202, 0
@@ -125,6 +134,8 @@
     # Hosts.
 
     def returned(self, name, n, host, ending, wait, over, took, report, idle=None):
+        if self.handed is not None:
+            return self.handed.tell(name, n, host, ending, wait, over, took, report, idle)
         msg = self.held.get(name)
         if msg is not None:
             msg.legs[n][2] = ending
@@ -134,6 +145,14 @@
                 self.note(record(records.BACK, [name, n, ending]))
         self.tell("outcome", name, n, host, ending, took, wait, report, over or msg is None, idle)
 
+    def came_home(self, name, n, host, *outcome):
+        """The outcome of a call that the process before this one left out."""
+        msg = self.held.get(name)
+        if msg is None or n < len(msg.legs) and msg.legs[n][2] is None:     # else it is known already
+            self.returned(name, n, host or (msg.legs[n][0] if msg else ""), *outcome)
+            if name not in self.held:       # over, though the module may not have known that leg
+                self.tell("withdraw", name)
+
     def fresh_for(self):
         return self.dispatcher.fresh_for(self.clock())
 
@@ -168,22 +187,25 @@
     # The module.
 
     def tell(self, what, *told):
-        """One thing told is one batch. Told while another is carried out, it waits for its turn."""
-        self.waiting.append((what, told))
+        self.tell_all([(what, told)])
+
+    def tell_all(self, batch):
+        """What is told at once is one batch. Told while another is carried out, it waits for its turn."""
+        self.waiting.append(batch)
         if self.telling:
             return
         self.telling = True
         try:
             while self.waiting:
-                what, told = self.waiting.popleft()
-                for act in self.decide(self.clock(), what, told):
+                batch = self.waiting.popleft()
+                for act in self.decide(self.clock(), batch):
                     self.guarded(self.carry_out, act)
         finally:
             self.telling = False
 
-    def decide(self, now, what, told):
+    def decide(self, now, batch):
         acts = []
-        for method, args in ((what, told), ("settle", ())):
+        for method, args in (*batch, ("settle", ())):
             more = self.guarded(getattr(self.dispatcher, method), now, *args)
             acts += [("wake", self.house["sweep"])] if more is None else more
         return acts
@@ -245,6 +267,7 @@
         if msg is None:
             return
         msg.ending = state, after
+        self.tally.end(msg.lane, state)
         if not msg.promised:        # its client still waits: the answer tells it
             self.forget(msg, state)
             return
@@ -267,6 +290,7 @@
 
     def finish(self, msg, state):
         msg.ending = state, 0
+        self.tally.end(msg.lane, state)
         self.forget(msg, state)
         if msg.promised:
             self.note(self.log.over(msg.name, state))
@@ -277,6 +301,11 @@
         if state:
             self.remember(msg.name, state)
 
+    def figures(self):
+        """(name, count) of all that staff are told."""
+        held = len(self.held) if self.handed is None else 0     # else another process's
+        return self.tally.figures(held, *self.dispatcher.hosts_seen(self.clock()))
+
     def remember(self, name, state):
         """Recent ends answer a message that is handed in once more."""
         if name not in self.ends:
@@ -306,13 +335,23 @@
             return msg.records() if msg.promised else []
         return [self.log.over(name, self.ends[name])] if name in self.ends else []
 
-    def recover(self):
-        """Reads the log back: what is owed its end is told to the module, which decides on each."""
-        replay = Replay(self.house["ends"])
+    def read_ahead(self):
+        """Reads a closed segment of a log that another process still writes; False where there is none."""
+        records_of = self.log.read_ahead()
+        for one in records_of or ():
+            self.replay.feed(*one)
+        return records_of is not None
+
+    def recover(self, out=()):
+        """Reads the log back: what is owed its end is told to the module, which decides on each. `out`: the
+        (message, leg's number) of calls that the process before this one still has out, and will tell of."""
+        replay, self.replay = self.replay, None
         for kind, told, body in self.log.read():
             if kind == DAMAGE:
                 self.say("journal damaged", segment=told.segment, at=told.at, bytes=told.size)
                 replay.damage()
+            elif kind == GONE:
+                replay.gone(*told)
             else:
                 replay.feed(kind, told, body)
         replay.finish()
@@ -330,6 +369,9 @@
             told, at = self.learned.read()
             if told:
                 self.tell("recall", told, at)
-        for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
-            self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
-                      [tuple(leg) for leg in msg.legs])
+        taken = [("take", (msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
+                           [(host, at, "out" if (msg.name, n) in out else ending)
+                            for n, (host, at, ending) in enumerate(msg.legs)]))
+                 for msg in sorted(self.held.values(), key=lambda msg: msg.at)]     # copies stand last
+        if taken:
+            self.tell_all(taken)
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -49,6 +49,10 @@
         while host in self.kept:
             self.drop(self.take(host, 0))
 
+    def close_all(self):
+        for host in list(self.kept):
+            self.close(host)
+
     def sweep(self):
         """Closes what stood idle for long, or was closed by its host."""
         for host in list(self.kept):
--- a/courseroute/town/clients.py
+++ b/courseroute/town/clients.py
@@ -8,6 +8,7 @@
 import trio
 
 from courseroute.checked import span
+from courseroute.state.pool import quiet
 from courseroute.town.hosts import body_of
 from courseroute.wire.http import Refused
 from courseroute.wire.link import LOST, Link
@@ -89,7 +90,7 @@
             "key": arrival.key, "dst": arrival.dst, "until": self.clock() + left}
         async with self.room[relay]:
             for _ in range(2):      # a kept connection may be closed just as the request crosses
-                link = self.idle[relay].pop() if self.idle[relay] else None
+                link = self.kept(relay)
                 kept, why = link is not None, "no answer"
                 try:
                     with trio.move_on_after(self.answer_within / 1e9):
@@ -104,6 +105,7 @@
                 except (*LOST, Refused):
                     why = "closed" if why == "no answer" else why
                     if kept and not link.call.begun:
+                        self.tell("met", self.clock(), id=name, relay=f"n{relay}", why=why)
                         link.close()
                         continue
                 link.close()
@@ -112,6 +114,19 @@
             {} if why != "unreachable" else {"n": arrival.n}))
         return None, 0
 
+    def kept(self, relay):
+        """A kept link that its relay has not closed; None where there is none."""
+        while self.idle[relay]:
+            link = self.idle[relay].pop()
+            if quiet(link):
+                return link
+            link.close()
+        return None
+
+    def count_idle(self, relay):
+        held = sum(quiet(link) for link in self.idle[relay])
+        self.tell("idle", self.clock(), relay=f"n{relay}", held=held)
+
     def answered(self, link, name, relay):
         status, told = link.call.status, link.call.headers.get("retry-after", "")
         after = int(float(told) * S) if told and math.isfinite(float(told)) else 0
--- a/courseroute/town/judge.py
+++ b/courseroute/town/judge.py
@@ -15,6 +15,11 @@
     asked     relay                                 a relay asked the directory
     relay     relay now                             started ready term kill exited paused goes-on wiped
     platform  now                                   notices-down notices-up
+    staff     relay call status took                what staff asked at a relay's second address
+    banned    relay host                            the relay's yes to a host down; lifted: before its call up
+    emptied   relay no yes                          a drain: whether /ready said no in time, and yes behind it
+    idle      relay held                            connections it still held open 4 s into a drain
+    met       id relay why                          a message met a closed connection, and went once more
     fell      dst load known                        a destination that had returned fell over again
     late      by                                    the town itself was late
 
@@ -36,7 +41,8 @@
 DELIVERED_READ = 100 * MS   # a delivery's answer may wait so long to be read
 NEVER_RAN = (429, 503, 504, 410)
 RULES = ("one final answer", "no effect twice", "drains kept", "cold returns", "order kept", "waits heeded",
-         "unchanged")
+         "unchanged", "staff heeded")
+STAFF_WAIT = 1000 * MS
 LATE = 250 * MS             # a town later than that says nothing of the relays
 
 
@@ -85,7 +91,7 @@
             span(day.rules.drain_grace), span(day.rules.ask_within), span(day.rules.turn_gap) or 0)
         self.windows = {name: span(lane.window) for name, lane in day.lanes.items()}
         self.messages, self.calls, self.due = {}, {}, []
-        self.told, self.changed, self.asked = {}, {}, {}
+        self.told, self.changed, self.asked, self.banned = {}, {}, {}, {}
         self.waits = {}                     # (relay, route) -> (from, until)
         self.apart = {name for name, form in day.kinds.items() if form.apart}
         self.apart_dst = set()              # numbers of destinations whose hosts are routes of their own
@@ -191,6 +197,10 @@
         msg.calls.append(call)
 
     def check_drain(self, call):
+        banned = self.banned.get((call.relay, call.host))
+        if banned is not None and call.began > banned + (self.grace or 0) + WAY:
+            self.found("drains kept", call.at, f"{call.relay} sent {call.id} to {call.host} "
+                       f"{(call.began - banned) // MS} ms after staff took it out")
         if self.grace is None or call.host not in self.changed:
             return
         changed = self.changed[call.host]
@@ -306,6 +316,32 @@
     def on_asked(self, row):
         self.asked[row["relay"]] = row["at"]
 
+    def on_staff(self, row):
+        self.counts["calls of staff"] += 1
+        relay, took = row["relay"], row["took"]
+        bad = row["status"] != 200 or took > STAFF_WAIT + WAY
+        if bad and not self.was_out(relay, row["at"] - took, row["at"]):
+            text = f"{relay} answered {row['call']} with {row['status']} after {took // MS} ms"
+            self.found("staff heeded", row["at"], text)
+
+    def on_banned(self, row):
+        self.banned[(row["relay"], row["host"])] = row["at"]
+
+    def on_lifted(self, row):
+        self.banned.pop((row["relay"], row["host"]), None)
+
+    def on_emptied(self, row):
+        if not (row["no"] and row["yes"]):
+            self.found("staff heeded", row["at"], f"{row['relay']}: /ready did not turn in time in a drain")
+
+    def on_idle(self, row):
+        if row["held"]:
+            text = f"{row['relay']} held {row['held']} idle connections of clients late in a drain"
+            self.found("staff heeded", row["at"], text)
+
+    def on_met(self, row):
+        self.counts["met a closed connection"] += 1
+
     def on_platform(self, row):
         if row["now"] == "notices-down":
             self.notices_down = row["at"]
--- a/courseroute/town/quarter.py
+++ b/courseroute/town/quarter.py
@@ -49,6 +49,8 @@
             async for told in lines:
                 if told["do"] == "relay":
                     self.clients.front.up[told["relay"]] = told["up"]
+                elif told["do"] == "count idle":
+                    self.clients.count_idle(told["relay"])
                 elif told["do"] == "again":
                     self.clients.again(told["n"], told["after"], told["mark"])
                 elif told["do"] == "end":
--- a/courseroute/town/report.py
+++ b/courseroute/town/report.py
@@ -1,19 +1,19 @@
 """The figures of a day that was played: plain maps for tables, JSON and comparisons. No socket, no clock."""
-import math
 from collections import Counter, defaultdict
 
-import numpy as np
+from hdrh.histogram import HdrHistogram
 
 from courseroute.checked import span
 from courseroute.town.judge import RULES
-from courseroute.town.script import destinations
+from courseroute.town.script import arrivals, destinations
 
-MS = 1_000_000
+MS, US_IN_MS = 1_000_000, 1000
+SHARES = {"p50_ms": 50, "p90_ms": 90, "p99_ms": 99, "p999_ms": 99.9}
 
 
 def by_message(judge):
     """{n: (first id, its delivery or None, its last word)} over all ids a message had; ids that were dropped
-    count for nothing, but that an effect took place."""
+    count for nothing, but that an effect took place. What never reached a relay is not in it."""
     found = {}
     for msg in judge.messages.values():
         first, delivered, word = found.get(msg.n, (msg, None, "unanswered"))
@@ -44,15 +44,16 @@
         refused[msg.dst] += sum(call.status in (429, 503) for call in msg.calls)
     words, lanes = defaultdict(Counter), defaultdict(Counter)
     value, most = 0.0, 0.0
-    for first, delivered, word in messages.values():
-        words[first.dst][word] += 1
-        lanes[first.lane][word] += 1
-        lane = day.lanes[first.lane]
+    for arrival in arrivals(day):       # from when it was due: a client that came late waited all the same
+        _, delivered, word = messages.get(arrival.n, (None, None, "unanswered"))
+        words[arrival.dst][word] += 1
+        lanes[arrival.lane][word] += 1
+        lane = day.lanes[arrival.lane]
         most += lane.value or 1.0
         if delivered:
-            took = delivered - first.at
-            waits[first.dst].append(took)
-            waits[first.lane].append(took)
+            took = delivered - result.start - arrival.at
+            waits[arrival.dst].append(took)
+            waits[arrival.lane].append(took)
             waits[None].append(took)
             target = span(lane.target)
             in_time = target is None or took <= target
@@ -85,6 +86,15 @@
 
 def quantiles(times):
     if not times:
-        return {"p50_ms": None, "p99_ms": None}
-    half, most = np.quantile(np.array(times), (0.5, 0.99))
-    return {"p50_ms": math.ceil(half / MS), "p99_ms": math.ceil(most / MS)}
+        return dict.fromkeys(SHARES)
+    histogram = histogram_of(times)
+    return {name: round(histogram.get_value_at_percentile(share) / US_IN_MS, 2)
+            for name, share in SHARES.items()}
+
+
+def histogram_of(times):
+    """An HdrHistogram of nanoseconds, kept in microseconds with three digits, up to an hour."""
+    histogram = HdrHistogram(1, 3_600_000_000, 3)
+    for took in times:
+        histogram.record_value(max(1, took // 1000))
+    return histogram
--- a/courseroute/town/script.py
+++ b/courseroute/town/script.py
@@ -15,16 +15,18 @@
 S = 1_000_000_000
 AT_HOSTS = {"refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow",
             "errors", "shut", "drain", "leave", "replace", "pause-reports", "limit"}
-AT_RELAYS = {"kill", "restart", "pause", "disk-full", "wipe", "reload"}
+AT_RELAYS = {"kill", "restart", "pause", "disk-full", "wipe", "reload", "upgrade", "empty"}
+BY_STAFF = {"hosts-down"}       # told to every relay
 AT_PLATFORM = {"directory-down", "directory-late", "notices-down"}
 IN_TRAFFIC = {"burst", "hot", "hot-client"}
-KINDS = AT_HOSTS | AT_RELAYS | AT_PLATFORM | IN_TRAFFIC
+KINDS = AT_HOSTS | BY_STAFF | AT_RELAYS | AT_PLATFORM | IN_TRAFFIC
 OUTAGES = {"refuse", "silent", "hang", "reset-before", "shut"}      # after these a destination is cold
-MOMENTS = {"kill", "restart", "wipe", "reload", "replace", "leave"}     # these have no length
+MOMENTS = {"kill", "restart", "wipe", "reload", "replace", "leave", "upgrade"}     # these have no length
 Kind = Literal[
     "refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow", "errors",
     "shut", "drain", "leave", "replace", "pause-reports", "limit", "kill", "restart", "pause", "disk-full",
-    "wipe", "reload", "directory-down", "directory-late", "notices-down", "burst", "hot", "hot-client"]
+    "wipe", "reload", "upgrade", "empty", "hosts-down", "directory-down", "directory-late", "notices-down",
+    "burst", "hot", "hot-client"]
 
 
 class Relays(Form, kw_only=True):
@@ -82,6 +84,8 @@
     told: Positive | None = None        # limit: reports tell that share of the true limit
     ran: bool | None = None     # reset-after, errors: whether the message has run; else drawn
     by: Span = "1s"             # directory-late
+    kills: Literal["old", "new"] | None = None      # upgrade: that process is killed
+    after: Span = "0ms"         # so long after the new one was started
 
     def faults(self):
         if self.kind not in MOMENTS and self.lasts is None:
@@ -137,7 +141,8 @@
         hosts = [host.name for dst in destinations(self) for host in dst.hosts]
         names = [dst.name for dst in destinations(self)]
         for at, fault in enumerate(self.fault):
-            allowed = (names + hosts if fault.kind in AT_HOSTS else relays if fault.kind in AT_RELAYS
+            at_hosts = fault.kind in AT_HOSTS | BY_STAFF
+            allowed = (names + hosts if at_hosts else relays if fault.kind in AT_RELAYS
                        else customers(self) if fault.kind == "hot-client" else names)
             anywhere = fault.kind in AT_PLATFORM | {"burst"}
             if not anywhere and not any(fnmatchcase(name, fault.where) for name in allowed):
@@ -251,7 +256,7 @@
     end = begin + (span(fault.lasts) if fault.lasts else 0)
     if fault.kind in AT_RELAYS | {"hot-client"}:
         names = [name for name in names_for(day, fault.kind) if fnmatchcase(name, fault.where)]
-    elif fault.kind in AT_HOSTS:
+    elif fault.kind in AT_HOSTS | BY_STAFF:
         names = [dst.name for dst in destinations(day) if fnmatchcase(dst.name, fault.where)]
         names += [host.name for dst in destinations(day) for host in dst.hosts
                   if dst.name in names or fnmatchcase(host.name, fault.where)]
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -1,23 +1,25 @@
 """Thin driver for the clients' connections: reads, feeds the machine, writes what it answers."""
-import errno
 import os
 import select
 import socket
 
 import trio
 
+from courseroute.decide import seen_off
 from courseroute.wire.http import Door, Refused
+from courseroute.wire.link import accepted
 
 
 class Guest:
     """One connection, and where it stands."""
-    __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked", "last")
+    __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked", "last", "heard")
 
     def __init__(self, sock, door):
         self.sock, self.stream, self.door = sock, trio.SocketStream(sock), door
         self.scope = trio.CancelScope()     # of the read it waits in
         self.last = False       # it was given up: what was read of it is still answered, then it ends
-        self.since = trio.current_time()    # when its request began, a first one with the connection
+        self.since = self.heard = trio.current_time()   # since: when its request began, a first one with the
+        #                                               connection; heard: when bytes last came
         self.half, self.asked = 0, False    # bytes of a half-read request; whether a whole one came yet
 
 
@@ -30,23 +32,16 @@
         self.left = half_read
         self.within = house["read_within"] / 1e9, house["idle"] / 1e9
         self.open = set()
-        self.silent, self.idle = {}, {}     # guests who never asked, those between requests
+        self.waiting = {"silent": {}, "half": {}, "idle": {}}   # as `seen_off` has them, each longest first
         self.closing = False
         self.full = False
+        self.accepting = trio.CancelScope()     # who connects from then on is another process's
 
     async def serve(self):
         async with trio.open_nursery() as nursery:
-            while True:
-                try:
-                    sock, _ = await self.listener.accept()
-                except OSError as cause:
-                    if cause.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                        self.log("no descriptors for a client", error=str(cause))
-                        await trio.sleep(self.house["sweep"] / 1e9)
-                    continue
-                except trio.ClosedResourceError:
-                    return
-                nursery.start_soon(self.connection, sock)
+            with self.accepting:
+                async for sock in accepted(self.listener, self.log, self.house["sweep"]):
+                    nursery.start_soon(self.connection, sock)
 
     async def connection(self, sock):
         guest = Guest(sock, Door(self.house["head"], self.house["body"]))
@@ -58,7 +53,8 @@
             self.log("connection failed", error=repr(cause)[:300])
         finally:
             self.hold(guest, 0)
-            self.forget(guest)
+            self.stop_waiting(guest)
+            self.open.discard(guest)
             sock.close()
 
     async def receive(self, guest):
@@ -76,21 +72,28 @@
             self.open.add(guest)
             await self.talk(guest, extra)
 
-    def forget(self, guest):
-        self.silent.pop(guest, None)
-        self.idle.pop(guest, None)
-        self.open.discard(guest)
-
     def give_up_waiting(self):
-        """Who waits longest without a word makes room, lest a silent crowd cost those who come to ask."""
-        return any(self.give_up(guest) for waiting in (self.silent, self.idle) for guest in list(waiting))
+        """One makes room, lest a crowd cost those who come to ask."""
+        now = trio.current_time()
+        waits = {kind: int(1e9 * (now - next(iter(waiting)).heard)) if waiting else 0
+                 for kind, waiting in self.waiting.items()}
+        order = seen_off(waits, len(self.waiting["silent"]) / len(self.open))
+        for guest in (guest for kind in order for guest in list(self.waiting[kind])):
+            if self.give_up(guest):
+                self.open.discard(guest)
+                return True
+        return False
+
+    def stop_waiting(self, guest):
+        for waiting in self.waiting.values():
+            waiting.pop(guest, None)
 
     def give_up(self, guest):
         """Ends a connection with nothing to be read; its client may ask again on another. Only the wait is
         cancelled: bytes may be read already that its task has not come to look at."""
         if seen(guest.sock, select.POLLIN):
             return False
-        self.forget(guest)
+        self.stop_waiting(guest)
         guest.last = True
         guest.scope.cancel()
         return True
@@ -111,12 +114,11 @@
                     continue
                 self.hold(guest, 0)
                 guest.since, guest.asked = None, True
-                if extra:
-                    raise Refused(503, "no room for more connections")
-                status, headers, body = self.desk.answer(request, gone(guest.sock))
+                status, headers, body = self.desk.answer(request, gone(guest.sock), extra)
                 if status == 202:
                     await self.desk.settled()
-                await self.write(stream, door.answer(status, headers, body, close=self.closing or guest.last))
+                close = self.closing or extra or guest.last
+                await self.write(stream, door.answer(status, headers, body, close=close))
                 if door.over:
                     return
         except Refused as cause:
@@ -132,23 +134,29 @@
         """Reads once; a silent peer is closed, sooner while a request is awaited: one that drips, or never
         says a word, must not hold a place for ever."""
         door, data, now = guest.door, None, trio.current_time()
-        if guest.last:
-            raise EOFError
+        between = guest.asked and not door.begun
+        if guest.last or self.closing and between and not seen(guest.sock, select.POLLIN):
+            raise EOFError      # closing may have begun while its last answer was written
         if guest.since is None and door.begun:      # its first bytes came behind the last request
             guest.since = now
         due = (now if guest.since is None else guest.since) + self.within[guest.since is None]
-        waiting = self.idle if guest.asked else self.silent
+        waiting = self.waiting["idle" if guest.asked else "half" if door.begun else "silent"]
         if not (guest.asked and door.begun):
             waiting[guest] = True
         with trio.move_on_at(due) as guest.scope:
             data = await guest.stream.receive_some(self.house["body"])
         waiting.pop(guest, None)
+        if data is None and guest.last and seen(guest.sock, select.POLLIN):     # it came as the wait ended
+            self.open.add(guest)
+            guest.last = not self.closing     # if closing it ends with its answer, whole by then
+            data = await guest.stream.receive_some(self.house["body"])
         if data is None:
             if door.begun and not guest.last:
                 raise Refused(408, "the request did not come in time")
             raise EOFError
+        guest.heard = trio.current_time()
         if guest.since is None:
-            guest.since = trio.current_time()
+            guest.since = guest.heard
         door.feed(data)
         if not self.hold(guest, guest.half + len(data)):
             raise Refused(503, "no room for more half-read requests")
@@ -162,10 +170,16 @@
             raise EOFError
 
     def close_idle(self, silent_too=False):
-        """On the way out: idle connections are closed, the others at their next answer."""
+        """On the way out, or in a drain: idle connections are closed, the others at their next answer."""
         self.closing = True
-        for guest in [*self.idle, *(self.silent if silent_too else ())]:
-            self.give_up(guest)
+        for kind in ("idle", "silent", "half") if silent_too else ("idle",):
+            for guest in list(self.waiting[kind]):
+                self.give_up(guest)
+
+
+    def keep_idle(self):
+        """Connections stay open again between requests."""
+        self.closing = False
 
 
 def gone(sock):
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -17,7 +17,7 @@
         self.nursery, self.desk, self.pool, self.house, self.clock = nursery, desk, pool, house, clock
         self.connect_within = terms.get("connect_within", house["write_within"])
         self.log = log
-        self.where, self.scopes = {}, {}
+        self.where, self.scopes, self.left = {}, {}, set()     # left: calls whose first byte may be written
 
     def call(self, msg, n, host, until):
         scope = self.scopes[(msg.name, n)] = trio.CancelScope()
@@ -27,6 +27,11 @@
         if (name, n) in self.scopes:
             self.scopes[(name, n)].cancel()
 
+    def cancel_all(self, but_left=False):
+        for leg, scope in self.scopes.items():
+            if not (but_left and leg in self.left):
+                scope.cancel()
+
     def close(self, host):
         self.pool.close(host)
 
@@ -42,6 +47,7 @@
         except Exception as cause:      # one call's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
+        self.left.discard((msg.name, n))
         over = self.clock() >= until
         call, report = leg.link and leg.link.call, None
         if leg.written and (call.settled or call.first == 200):     # the first line of a delivery is true,
@@ -83,14 +89,16 @@
         hosts, begun = self.hosts, self.hosts.clock()
         self.link, self.idle = hosts.pool.idle(self.host)
         self.link = self.link or await self.connect()
-        # A wait, or a drain, may have been told while the connection came up.
+        await hosts.desk.settled()
+        # A wait, or a drain, may have been told while the connection came up, and a repeat's window be over.
         self.held_back = self.link is None or not hosts.desk.may_leave(self.msg.name, self.n)
         if self.held_back:
             return
-        await hosts.desk.settled()
+        hosts.left.add((self.msg.name, self.n))
         fields = words.call_head(self.msg, self.until - hosts.clock())
         await self.link.send("POST", "/hook", fields, self.msg.body)
         self.written = True
+        hosts.desk.tally.called()
         call = self.link.call
         while not call.settled:     # an answer that began and stands still is spoilt
             with trio.fail_after(hosts.house["drain_answer"] / 1e9 if call.begun else math.inf):
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -1,9 +1,27 @@
-"""A connection that this relay opened, its machine beside it: shared by the drivers that call out."""
+"""What the drivers share: connections that this relay opened, their machine beside them, and who connects."""
+import errno
+
 import trio
 
 from courseroute.wire.http import Call, Refused
 
 LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
+SPENT = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)      # no descriptor, or no memory for one
+
+
+async def accepted(listener, log, pause):
+    """Each socket that connects, until the listener is closed; a pause (ns) where no descriptor is left."""
+    while True:
+        try:
+            sock, _ = await listener.accept()
+        except OSError as cause:
+            if cause.errno in SPENT:
+                log("no descriptors for a connection", error=str(cause))
+                await trio.sleep(pause / 1e9)
+            continue
+        except trio.ClosedResourceError:
+            return
+        yield sock
 
 
 class Link:
--- a/courseroute/wire/words.py
+++ b/courseroute/wire/words.py
@@ -1,13 +1,15 @@
 """The words of the protocol: what a head's fields say, as the interface has it, and back."""
 import math
 import re
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, unquote
 
 from courseroute.wire.http import Refused
 
 UNITS = {"m": 1_000_000, "u": 1000}
 SPAN = re.compile(r"(\d{1,10}(?:\.\d{1,9})?)([mu])")
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
+CALLS = {"/ops/readiness": "GET", "/ops/stats": "GET", "/ops/hosts/down": "POST", "/ops/hosts/up": "POST",
+         "/ops/drain/start": "POST", "/ops/drain/stop": "POST"}
 ODD = re.compile(r"[^\x21-\x7e]")
 
 
@@ -46,6 +48,24 @@
             "key": dict(parse_qsl(query)).get("subject", "")[:longest], "body": request.body}
 
 
+def asked(request):
+    """(what an operator's call wants, the host it is about or None)"""
+    path = request.target.partition("?")[0]
+    what, host = path, None
+    if path.startswith("/ops/hosts/"):
+        what, _, host = path.rpartition("/")
+    if what not in CALLS or host == "":
+        raise Refused(404, "no such call")
+    if request.method != CALLS[what]:
+        raise Refused(405, f"this is called by {CALLS[what]}")
+    return what.removeprefix("/ops/"), host and unquote(host)
+
+
+def figures_text(figures):
+    """One line a figure."""
+    return "".join(f"relay.{name}={figure}\n" for name, figure in figures).encode()
+
+
 def call_head(msg, left):
     headers = [("Host", "origin"), ("X-Request-Id", msg.name), ("X-Deadline", span_text(left))]
     return headers + ([("Idempotency-Key", msg.mark)] if msg.mark else [])
