A call whose record may be damaged may have run, though a later call's record is read

Change: where bytes could not be read since a message was taken on, a gap is a call that may have run, nobody knows when, so that its window counts as over; elsewhere it is one that was never sent, as before.

--- a/courseroute/journal/replay.py
+++ b/courseroute/journal/replay.py
@@ -13,20 +13,19 @@
 class Kept:
     """A message that is held: the fields of its record, its body, its attempts by number."""
 
-    __slots__ = ("told", "body", "attempts")
+    __slots__ = ("told", "body", "attempts", "doubtful")
 
     def __init__(self, told, body):
         self.told, self.body, self.attempts = told, body, {}
+        self.doubtful = False  # records of its attempts may stand in bytes that can't be read
 
     @property
     def legs(self):
-        """The attempts as [host, sent at, ending]. One with no record was not sent: that is written first."""
-        count = max(self.attempts, default=-1) + 1
-        return [self.attempts.get(n) or ["", 0, UNSENT] for n in range(count)]
-
-    def add_doubtful(self):
-        """An attempt that may have run, nobody knows when."""
-        self.attempts[max(self.attempts, default=-1) + 1] = ["", 0, None]
+        """The attempts as [host, sent at, ending]. One with no record was not sent, as that is written first;
+        where records may be lost it may have run, nobody knows when, and so may one behind the last."""
+        count = max(self.attempts, default=-1) + 1 + self.doubtful
+        missing = None if self.doubtful else UNSENT
+        return [self.attempts.get(n) or ["", 0, missing] for n in range(count)]
 
 
 class Replay:
@@ -59,7 +58,7 @@
                 self.ends.popitem(last=False)
 
     def finish(self):
-        """No more records come: what is doubtful gets an attempt that may have run."""
-        for name in sorted(self.doubtful & self.held.keys()):
-            self.held[name].add_doubtful()
+        """No more records come."""
+        for name in self.doubtful & self.held.keys():
+            self.held[name].doubtful = True
         return self
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -13,10 +13,11 @@
 from courseroute.journal import frames, old, plan, tools, torture
 from courseroute.journal.disk import Disk
 from courseroute.journal.faulty import Crash, FaultyDisk
-from courseroute.journal.frames import OVER, OWED, TAKEN, Newer, record
+from courseroute.journal.frames import CALL, OVER, OWED, TAKEN, Newer, record
 from courseroute.journal.learned import Learned
 from courseroute.journal.lock import Held, lock
 from courseroute.journal.plan import Segment, victim
+from courseroute.journal.replay import Replay
 from courseroute.journal.store import DAMAGE, Full, Journal
 from courseroute.journal.syncer import Syncer
 
@@ -218,6 +219,15 @@
     assert again.held["m"].legs[1][0] == "h" and again.dispatcher.taken["m"][1][2] is None
 
 
+# Guards against a window counted from a later call than the first one, whose record is in damaged bytes.
+def test_a_call_whose_record_may_be_damaged_may_have_run_nobody_knows_when():
+    replay = Replay()
+    replay.feed(TAKEN, ["m", "7", "a", 10 ** 10, "k", "", "", False, 5], b"")
+    replay.damage()
+    replay.feed(CALL, ["m", 1, "h", 100, None], b"")
+    assert replay.finish().held["m"].legs == [["", 0, None], ["h", 100, None], ["", 0, None]]
+
+
 # Damage, foreign files, other versions.
 
 
