--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -137,13 +137,19 @@
     assert sum(live for _, live in again.log.segments.values()) <= again.bytes
 
 
-def test_an_end_is_told_once_it_is_written_or_its_message_can_be_sent_no_more():
-    """On a full disk a relay told an end, was killed, and its next life sent the message (kills.toml)."""
-    disk, now = FaultyDisk(), [5 * MS]
+def desk_on(disk, now):
+    """A desk whose clock reads now[0], on a disk that can be made to fail."""
     journal, say = Journal(disk, 1_000_000), (lambda event, **told: None)
     desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10 ** 8, lambda: now[0], say)
     desk.notices, desk.ready = Notices(desk, HOUSE, None, None), True
     desk.recover()
+    return desk
+
+
+def test_an_end_is_told_once_it_is_written_or_its_message_can_be_sent_no_more():
+    """On a full disk a relay told an end, was killed, and its next life sent the message (kills.toml)."""
+    disk, now = FaultyDisk(), [5 * MS]
+    desk = desk_on(disk, now)
     for name in "ab":
         left = S * (1 + (name == "b")) + HOUSE["sweep"]
         assert desk.take(TOLD | {"name": name, "left": left}, False) == (202, 0)
@@ -165,10 +171,7 @@
 # Guards against a final answer that is up to a sweep late because its record could not be written.
 def test_an_end_at_its_deadline_is_told_at_once_though_it_cannot_be_written():
     disk, now = FaultyDisk(), [5 * MS]
-    journal, say = Journal(disk, 1_000_000), (lambda event, **told: None)
-    desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10 ** 8, lambda: now[0], say)
-    desk.notices, desk.ready = Notices(desk, HOUSE, None, None), True
-    desk.recover()
+    desk = desk_on(disk, now)
     assert desk.take(TOLD, False) == (202, 0)
     disk.room = disk.used()
     now[0] += TOLD["left"] - 10 * MS
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -31,6 +31,19 @@
         proxy.close()
 
 
+def lose_first_answer(proxies, switch):
+    """A plan for the hosts: the first answer is lost, once `switch` was thrown at each proxy."""
+
+    def plan(call):
+        if call["n"]:
+            return 200, {}
+        for proxy in proxies:
+            switch(proxy)
+        return "drop"
+
+    return plan
+
+
 def wait_until_window_is_over(town):
     assert until(lambda: town.calls and time.time() > town.calls[0]["at"] + WINDOW_S)
 
@@ -43,14 +56,7 @@
 
 # Guards against a keyed request being sent again outside its window because its connection came up late.
 def test_a_repeat_does_not_leave_when_its_connection_comes_up_behind_the_idempotency_window(town, proxies):
-    def lose_first_answer(call):
-        if call["n"]:
-            return 200, {}
-        for proxy in proxies:
-            proxy.drop_new_connections()
-        return "drop"
-
-    town.plan = lose_first_answer
+    town.plan = lose_first_answer(proxies, Proxy.drop_new_connections)
     town.start()
     assert town.hand_in("a", "order") == 202
     wait_until_window_is_over(town)
@@ -62,14 +68,7 @@
 
 # Guards against a keyed request reaching its server outside its window as its last bytes were on the way.
 def test_a_repeat_whose_last_bytes_have_not_arrived_when_its_window_is_over_never_arrives(town, proxies):
-    def lose_first_answer(call):
-        if call["n"]:
-            return 200, {}
-        for proxy in proxies:
-            proxy.hold_bytes()
-        return "drop"
-
-    town.plan = lose_first_answer
+    town.plan = lose_first_answer(proxies, Proxy.hold_bytes)
     town.start()
     assert town.hand_in("a", "order", LARGE_BODY) == 202
     assert until(lambda: town.notices)
