The log says how old the endpoint list is when discovery fails, is asked and answers again

The records say when discovery wrote answers to a relay; the log said only that a call had failed, not how long it took, when the next one was made, or how old the list in use was. So it could not tell apart a call that was turned away, one that hung, and a long pause between calls.

Change: 'discovery asked', 'discovery failed' and 'endpoints told' carry the version, the list's age, the failures in a row and the call's length; news names the endpoints that are draining or gone. The scripted emulator can leave single calls for the list unanswered or turn them away.

Result: the new test fails without the change (no such events).

--- a/courseroute/town/scripted.py
+++ b/courseroute/town/scripted.py
@@ -68,12 +68,22 @@
     async def answer(self, request, relay):
         if request.method == "GET":
             self.town.watches.append((time.time(), request.target, relay))
+            answer = await self.faulty_answer(len(self.town.watches) - 1)
+            if answer is not None:
+                return answer
         if self.town.platform_status:
             return self.town.platform_status, (), b""
         if request.method == "POST":
             self.town.posts.append(relay)
         return await super().answer(request, relay)
 
+    async def faulty_answer(self, n):
+        """The answer to the n-th call for the list where `discovery_plan` has a fault for it, else None."""
+        plan = self.town.discovery_plan(n)
+        if plan == "silent":
+            await trio.sleep_forever()
+        return None if plan is None else (plan, (), b"")
+
 
 class Everywhere(list):
     """The same address, whoever asks."""
@@ -88,6 +98,7 @@
     def __init__(self, hosts=("h1", "h2")):
         self.calls, self.notices, self.watches, self.posts, self.rows = [], [], [], [], []
         self.plan, self.platform_status = lambda call: (200, {}), None
+        self.discovery_plan = lambda n: None  # n-th call for the list: None, "silent" or a status
         self.place = Place(7, "d", Partner(), tuple(HostPlace(name, i, "z") for i, name in enumerate(hosts)))
         self.up, self.moves = threading.Event(), 0
         self.thread = threading.Thread(target=trio.run, args=(self.run,), daemon=True)
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -1,5 +1,7 @@
 """Discovery: a watch kept up by one call after another; each failure is told, and the module asks anew."""
 
+import time
+
 import orjson
 import trio
 
@@ -7,6 +9,8 @@
 from courseroute.wire.link import LOST, Line
 from courseroute.wire.words import UNITS, roster_of
 
+NAMES_LOGGED = 16  # endpoints that are draining or gone, named in one line of the log
+
 
 class Watch:
     """What a watch asks next, and what its answers say; knows no socket."""
@@ -37,8 +41,10 @@
         self.line = Line(place, house["head"], house["list"])
         self.wait, self.asked, self.asking = None, trio.Event(), trio.CancelScope()
         self.keep = None  # told (scope, entries, addresses) too, where the list is kept
+        self.answered_at, self.failures = None, 0  # monotonic time of the last answer, failed calls since
 
     def ask(self, wait):
+        self.log("discovery asked", wait_ms=wait // UNITS["m"], **self.standing())
         self.wait = wait
         self.asked.set()
 
@@ -67,14 +73,38 @@
             try:
                 with trio.CancelScope() as self.asking:
                     while True:
-                        self.learn(*self.watch.answer(*await self.get()))
+                        begun = time.monotonic_ns()
+                        told = self.watch.answer(*await self.get())
+                        self.log_answer(begun, *told)
+                        self.learn(*told)
                 self.line.drop()
             except (*LOST, Refused, ValueError) as cause:
-                self.log("discovery failed", error=str(cause)[:200] or type(cause).__name__)
+                self.failures += 1
+                error = str(cause)[:200] or type(cause).__name__
+                self.log("discovery failed", error=error, call_ms=elapsed_ms(begun), **self.standing())
                 self.line.drop()
                 self.asked = trio.Event()  # what was asked meanwhile is answered by this failure
                 self.desk.tell("roster", "failed", [])
 
+    def standing(self):
+        """For the log: what the list is worth. Its age is the time since discovery answered last."""
+        age = None if self.answered_at is None else elapsed_ms(self.answered_at)
+        return {"version": self.watch.index, "list_age_ms": age, "failures": self.failures}
+
+    def log_answer(self, begun, scope, entries, _):
+        """Logs an answer that brings news, or the first one behind a failure."""
+        if entries or self.failures:
+            unlisted = [name for name, state, *_ in entries if state != "ready"]
+            self.log(
+                "endpoints told",
+                scope=scope,
+                entries=len(entries),
+                unlisted=unlisted[:NAMES_LOGGED],
+                call_ms=elapsed_ms(begun),
+                **self.standing(),
+            )
+        self.answered_at, self.failures = time.monotonic_ns(), 0
+
     async def get(self):
         return await self.line.exchange(
             self.wait + self.house["list_within"],
@@ -82,3 +112,8 @@
             self.watch.target(self.wait),
             [("Host", "discovery")],
         )
+
+
+def elapsed_ms(since):
+    """Milliseconds since a reading of the monotonic clock in nanoseconds."""
+    return (time.monotonic_ns() - since) // UNITS["m"]
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,67 @@
+"""Discovery that falls silent or turns calls away, before real relays: nothing goes to a drained endpoint."""
+
+import itertools
+import threading
+import time
+
+import pytest
+from helpers import Town, until
+
+TOLD_WITHIN_S = 6.0  # what discovery has counts as told so long after it was made, whatever failed
+GRACE_S = 1.0 + 0.05  # of a draining endpoint (tests/helpers.py), and the slack of the protocol
+HAND_IN_EVERY_S = 0.04
+
+
+@pytest.fixture
+def town(tmp_path):
+    town = Town(tmp_path)
+    yield town
+    town.close()
+
+
+@pytest.fixture
+def traffic(town):
+    """`traffic()` begins to hand in one message after another; what was handed in is owed nothing here."""
+    ended = threading.Event()
+
+    def hand_in():
+        for n in itertools.count():
+            if ended.wait(HAND_IN_EVERY_S):
+                return
+            town.hand_in(f"m{n}")
+
+    thread = threading.Thread(target=hand_in, daemon=True)
+    yield thread.start
+    ended.set()
+    thread.join(5)
+
+
+def drain_behind_a_silent_watch(town, plan):
+    """h1 drains just as the watch has fallen silent; `plan` is told each later call's number, from 0, and
+    says how it ends. Returns when it drained, in seconds."""
+    assert until(lambda: len(town.watches) >= 2)
+    standing = len(town.watches)  # the next call stands and hears nothing
+    town.discovery_plan = (
+        lambda n: "silent" if n == standing else plan(n - standing - 1) if n > standing else None
+    )
+    assert until(lambda: len(town.watches) > standing)
+    town.change("h1", "leaving")
+    return time.time()
+
+
+def latest_to(town, host, since):
+    """Seconds from `since` to the last request that this host got."""
+    return max((call["at"] - since for call in town.calls if call["host"] == host), default=0.0)
+
+
+def test_the_log_says_how_old_the_list_was_when_discovery_failed_and_what_it_brought(town):
+    town.start()
+    drain_behind_a_silent_watch(town, lambda n: 503 if n < 1 else None)
+    assert until(lambda: any(event["event"] == "endpoints told" for event in town.events()), 12)
+    logged = [event for event in town.events() if event["event"].startswith(("discovery", "endpoints"))]
+    told = logged[-1]
+    assert told["unlisted"] == ["h1"] and told["failures"] == 2 and told["list_age_ms"] > 3000
+    failed = [event for event in logged if event["event"] == "discovery failed"]
+    assert [event["error"] for event in failed] == ["no answer in time", "status 503"]
+    assert failed[0]["call_ms"] > 2500 and failed[1]["list_age_ms"] > failed[0]["list_age_ms"]
+    assert logged[logged.index(failed[1]) + 1]["event"] == "discovery asked"
