Failing test: a drain behind a silent watch is missed when discovery turns calls away

A relay process and its hosts on loopback; the watch falls silent, a server drains at that moment, and the next one, two or three calls for the list get status 503, as a crowded discovery gives it. The protocol allows requests for 6 s and the grace of 1.05 s.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -54,6 +54,19 @@
     return max((call["at"] - since for call in town.calls if call["host"] == host), default=0.0)
 
 
+# Guards against requests to a draining server because a turned-away call to discovery was repeated too late.
+@pytest.mark.parametrize("turned_away", [1, 2, 3])
+def test_a_drain_behind_a_silent_watch_is_heeded_though_crowded_discovery_turns_calls_away(
+    town, traffic, turned_away
+):
+    town.start()
+    traffic()
+    drained = drain_behind_a_silent_watch(town, lambda n: 503 if n < turned_away else None)
+    assert until(lambda: time.time() > drained + TOLD_WITHIN_S + GRACE_S + 2, 12)
+    assert latest_to(town, "h1", drained) <= TOLD_WITHIN_S + GRACE_S
+    assert latest_to(town, "h2", drained) > TOLD_WITHIN_S + GRACE_S
+
+
 def test_the_log_says_how_old_the_list_was_when_discovery_failed_and_what_it_brought(town):
     town.start()
     drain_behind_a_silent_watch(town, lambda n: 503 if n < 1 else None)
