Calls to discovery are planned so that several fit in before a change counts as told

Cause: calls for the list were spaced without regard to the time that the list is good for. The protocol counts a change as told 6 s after it was made, and lets requests go on for the grace of 1 s. A silent watch was given up 4.5 s after its call (2.5 s of wait, HOUSE list_within 2 s, Discovery.serve); the next call came up to 2 s later and, turned away, the one after it up to 3.3 s later (Dispatcher.roster and plan_watch: a back-off to a third of ask_within). So a second failure was always too late: 7.2 to 9.8 s. Class: a retry schedule that does not know the deadline it serves.

Ruled out: a hung second call (it would have ended at 25 s, the answer came at 24.7 s); a list that came and was not heeded (all requests at fault were before the answer).

Change: decisions/endpoint_list.py plans calls: an answer that is a second late is not waited for, another call is made beside the silent one; a failed call is repeated within a second while the list is good, ever less often after that; a call waits for news only as long as leaves time for two more. The age of a list counts from when discovery had it, not from when it was read. The driver holds at most two calls; an answer to either stands for both.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -6,6 +6,7 @@
 """
 import random
 
+from courseroute.decisions.endpoint_list import HELD_UP, EndpointListSchedule
 from courseroute.model.agenda import Agenda
 from courseroute.model.causes import CloseCause, HoldCause
 from courseroute.model.histogram import Histogram, Meter, Odds
@@ -29,8 +30,7 @@
 SHARE_SPAN = 6 * S                                          # of its share that a customer may send at once
 LOSSY, LAG, HASTE = 0.1, 0.05, 2        # so many calls lost: connections are not kept, time-outs are halved
 SMOOTH, ROUGH = 0.1, 1.5        # weight of a new reported limit; a rough rate is at most so many times high
-STALL = 150 * MS                # a process may be held up so long between reading its clock and writing
-WATCHES, LAST_SEND, LEAVE = 4, 2400 * MS, 3000 * MS     # watches in ask_within; from the word to stop on
+LAST_SEND, LEAVE = 2400 * MS, 3000 * MS     # from the word to stop on
 OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual"
 OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"       # these outlast a restart
 USUAL_SPAN = 4 * S              # the pace before an outage is counted over two such spans, the last one begun
@@ -38,7 +38,7 @@
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
     "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
     "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
-    "read_within": 2 * S, "write_within": 2 * S, "list_within": 2 * S, "notice_within": S // 4,
+    "read_within": 2 * S, "write_within": 2 * S, "list_within": 4 * S, "notice_within": S // 4,
     "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2,
     "learned_for": FORGET}
 
@@ -52,7 +52,8 @@
         self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(self.at), {}
         self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
         self.idled = Odds(EDGES[::3], 4 * MEMORY)   # lost calls by idle time, of new connections none
-        self.busy, self.watched, self.asks, self.failed, self.closing = 0, None, 0, 0, 1 << 63
+        self.list = EndpointListSchedule(terms, self.draw)
+        self.busy, self.watched, self.list_calls, self.closing = 0, None, 0, 1 << 63
         self.nowhere = Destination(None)    # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
@@ -63,17 +64,24 @@
 
     def start(self, now):
         if self.terms.get("ask"):
-            self.plan_watch(now, 0)
+            self.plan_list_call(now, self.call_for_list)
         self.at(now + RENEW, self.rank)
         return self.said()
 
-    def roster(self, now, scope, entries):
+    def roster(self, now, scope, entries, as_of=None):
+        """`as_of`: when the list was discovery's own, as far as is known; None: now."""
         if scope == "failed":
-            self.watched, self.failed = None, self.failed + 1
-            self.plan_watch(now, min(S << self.failed, self.terms.get("ask_within", 10 * S) / 3))
+            self.watched = None
+            self.list.failed()
+            self.plan_list_call(now + self.list.retry_after(now), self.call_for_list)
             return self.said()
-        if scope != "saved":
-            self.watched, self.failed = now, 0
+        if scope == "saved":
+            self.list.restored(now)
+        else:
+            self.watched = now
+            self.list.confirmed(now if as_of is None else as_of)
+            if self.list.is_polled:
+                self.plan_list_call(now, self.call_for_list)
         if scope != "changes":
             for host in self.hosts.values():
                 host.listed, host.gone = False, host.gone or now
@@ -233,15 +241,25 @@
         self.arm(now)
         return self.said()
 
-    def watch(self, now, ask):
-        """Asks until it is told; only the newest ask planned is made: no storm on a directory that fails."""
-        if ask == self.asks and self.watched is None:
-            self.acts.append(("watch", self.terms.get("ask_within", 10 * S) // WATCHES))
-            self.plan_watch(now, self.terms.get("ask_within", 10 * S) / 3)
-
-    def plan_watch(self, now, wait):
-        self.asks += 1
-        self.at(now + int(wait * self.draw(0.5, 1.0)), self.watch, self.asks)
+    def plan_list_call(self, when, call):
+        """Only the newest call planned is made: no storm on a discovery that fails."""
+        self.list_calls += 1
+        self.at(when, call, self.list_calls)
+
+    def call_for_list(self, now, number):
+        """Calls discovery, and plans the next call in case that one brings no answer in time."""
+        if number == self.list_calls:
+            wait = self.list.call_wait(now)
+            self.acts.append(("watch", wait))
+            self.plan_list_call(now + self.list.late_after(wait), self.call_again)
+
+    def call_again(self, now, number):
+        """Behind a call that has not answered; a watch that stands is left alone."""
+        if number != self.list_calls or (self.watched is not None and not self.list.is_polled):
+            return
+        if self.list.is_polled:
+            self.list.failed()
+        self.call_for_list(now, number)
 
     def late(self, msg):
         return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
@@ -541,7 +559,7 @@
         dispatched, or None. A repeat has to arrive inside the lane's window, whatever holds the relay up."""
         if first is None or msg.lane.effect == "retriable":
             return FOREVER
-        return first + msg.lane.window - self.margin - STALL if msg.lane.effect == "keyed" else 0
+        return first + msg.lane.window - self.margin - HELD_UP if msg.lane.effect == "keyed" else 0
 
     def drop_late(self, now, msg):
         """Guards against sending what can no longer be delivered in time."""
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -6,9 +6,10 @@
 Told by the caller, each returning a list of actions:
 
     start(now)                                  the relay is up
-    roster(now, scope, entries)                 news of the list; scope is full, saved, changes or failed;
+    roster(now, scope, entries, as_of)          news of the list; scope is full, saved, changes or failed;
                                                 an entry is (host, state, area, rate, kind, destination),
-                                                state ready, draining or gone, rate None if not listed
+                                                state ready, draining or gone, rate None if not listed;
+                                                as_of: when the list was discovery's own, None: now
     memory(now)                                 asked now and then: what the next life is to know, plain lists
     recall(now, told, at)                       that, told after the list of a new life, and when it was kept
     take(now, name, dst, lane, deadline, key, customer, again, legs)
@@ -42,7 +43,8 @@
 
     relays, number (this relay's among them, from 0), area, slots, room, legs, cancel, copies,
     stay_away (longest advice that clients heed), tick, connect_within, idle_close,
-    drain_grace, ask (the list answers only when asked), ask_within, cold, cold_from, overload, fall,
+    drain_grace, ask (the list answers only when asked), ask_within, told_within (where each call for the
+    list is one exchange: a change counts as told so long after it was made), cold, cold_from, overload, fall,
     rough (listed rates are), turn_gap, kinds (kind -> {apart, per_call}),
     customers (name -> quota a second), over_share (value kept),
     lanes (name -> {target, deadline, effect, group, window, value, late_value, ordered})
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -14,6 +14,7 @@
 from courseroute.run.setup import Setup, told_of
 from courseroute.wire.words import place_of
 
+TOLD_WITHIN = 6 * 10**9     # nanoseconds; what discovery has counts as told by then, whatever failed
 PLATFORM = {"listen": "ROUTER_LISTEN", "directory": "ROUTER_DISCOVERY", "state": "ROUTER_STATE",
             "name": "ROUTER_NAME"}
 
@@ -60,6 +61,7 @@
     """A Setup as the relay uses it: addresses as pairs, sizes in bytes, the module's terms."""
     terms = setup.terms()
     terms["ask"] = True             # on sockets the list answers only when asked
+    terms["told_within"] = TOLD_WITHIN
     return {
         "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
         "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -74,7 +74,8 @@
             desk.hosts = Hosts(nursery, desk, pool, house, terms, self.clock, say)
             desk.notices = Notices(desk, house, told["discovery"], say)
             watch = Watch(terms["listed_rates"], None)
-            desk.discovery = Discovery(desk, desk.hosts, house, told["discovery"], watch, say)
+            desk.discovery = Discovery(
+                nursery, desk, desk.hosts, house, told["discovery"], watch, self.clock, say)
             desk.alarm, desk.leave = self.set_alarm, self.left.set
             self.enter(Phase.RECOVERING, clock="kept" if clock.continues else "new")
             desk.tell("start")
@@ -89,7 +90,7 @@
             desk.ready = True
             self.enter(Phase.SERVING, restored=len(desk.held), owed=len(desk.owed))
             await nursery.start(self.heed_signals)
-            for task in (self.clients.serve, desk.notices.serve, desk.discovery.serve, self.alarms):
+            for task in (self.clients.serve, desk.notices.serve, self.alarms):
                 nursery.start_soon(task)
             nursery.start_soon(self.sweep, pool)
             nursery.start_soon(self.compact, log)
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -1,6 +1,4 @@
-"""Discovery: a watch kept up by one call after another; each failure is told, and the module asks anew."""
-
-import time
+"""Discovery: calls for the list of endpoints, at most two at once; the decisions say when each is made."""
 
 import orjson
 import trio
@@ -10,17 +8,19 @@
 from courseroute.wire.words import UNITS, roster_of
 
 NAMES_LOGGED = 16  # endpoints that are draining or gone, named in one line of the log
+MOST_CALLS = 2  # one that is late, and the one made in its place
+WRITTEN_WITHIN = 1_000_000_000  # nanoseconds; discovery makes up an answer at most so long before it is read
 
 
 class Watch:
-    """What a watch asks next, and what its answers say; knows no socket."""
+    """What a call asks, and what its answer says; knows no socket."""
 
     def __init__(self, listed_rates, index):
         self.listed_rates, self.index = listed_rates, index
 
     def target(self, wait):
         known = f"index={self.index}&" if self.index is not None else ""
-        return f"/v1/endpoints?{known}wait={wait // UNITS['m']}" if known else "/v1/endpoints"
+        return f"/v1/endpoints?{known}wait={max(1, wait // UNITS['m'])}" if known else "/v1/endpoints"
 
     def answer(self, status, body):
         """(scope, entries, addresses); ValueError where the answer is none, the whole list is asked then."""
@@ -35,63 +35,121 @@
         return told
 
 
+class ListCall:
+    """One call for the list; times are nanoseconds of the relay's clock."""
+
+    def __init__(self, line, wait, begun):
+        self.line, self.wait, self.begun = line, wait, begun
+        self.scope = trio.CancelScope()
+        self.is_late = False  # another one was made in its place
+
+    def as_of(self, received):
+        """When the list in its answer was discovery's own: one that waited in vain says all up to its end."""
+        waited_until = self.begun + self.wait
+        if received >= waited_until:
+            return waited_until
+        return max(self.begun, received - WRITTEN_WITHIN)
+
+
 class Discovery:
-    def __init__(self, desk, hosts, house, place, watch, log):
-        self.desk, self.hosts, self.house, self.watch, self.log = desk, hosts, house, watch, log
-        self.line = Line(place, house["head"], house["list"])
-        self.wait, self.asked, self.asking = None, trio.Event(), trio.CancelScope()
+    def __init__(self, nursery, desk, hosts, house, place, watch, clock, log):
+        self.nursery, self.desk, self.hosts, self.house = nursery, desk, hosts, house
+        self.place, self.watch, self.clock, self.log = place, watch, clock, log
+        self.idle_line = None  # that of the last answer
+        self.calls = []  # under way, the newest last
         self.keep = None  # told (scope, entries, addresses) too, where the list is kept
-        self.answered_at, self.failures = None, 0  # monotonic time of the last answer, failed calls since
+        self.answered_at, self.failures = None, 0  # time of the last answer, failed calls since
 
     def ask(self, wait):
-        self.log("discovery asked", wait_ms=wait // UNITS["m"], **self.standing())
-        self.wait = wait
-        self.asked.set()
+        """Makes one call, which discovery may let wait so long for news; the oldest of too many ends."""
+        if self.calls and not self.calls[-1].is_late:
+            self.calls[-1].is_late = True
+            self.log_failure(self.calls[-1], "no answer in time")
+        if self.failures or self.answered_at is None:
+            self.log("discovery asked", wait_ms=wait // UNITS["m"], **self.standing())
+        while len(self.calls) >= MOST_CALLS:
+            self.give_up(self.calls[0])
+        line, self.idle_line = self.idle_line or self.new_line(), None
+        call = ListCall(line, wait if self.watch.index is not None else 0, self.clock())
+        self.calls.append(call)
+        self.nursery.start_soon(self.make, call)
+
+    def new_line(self):
+        return Line(self.place, self.house["head"], self.house["list"])
 
     def move(self, place):
-        """The directory is elsewhere from now on: what waits at the old one is asked of the new at once."""
-        self.line.place, self.watch.index = place, None  # its versions are its own: the whole list first
-        self.asking.cancel()
-        if self.wait is not None:
-            self.asked.set()
-
-    def learn(self, scope, entries, where):
+        """Discovery is elsewhere from now on: what waits at the old place is asked of the new one at once."""
+        self.place, self.watch.index = place, None  # its versions are its own: the whole list first
+        for call in list(self.calls):
+            self.give_up(call)
+        if self.idle_line:
+            self.idle_line.drop()
+            self.idle_line = None
+        self.ask(0)
+
+    def give_up(self, call):
+        self.calls.remove(call)
+        call.scope.cancel()
+
+    def learn(self, scope, entries, where, as_of=None):
         if scope == "full":  # who left is not dialled again: another may have its address
             self.hosts.where.clear()
         self.hosts.where.update(where)
         for name, state, *_ in entries:
             if state == "gone":
                 self.hosts.where.pop(name, None)
-        self.desk.tell("roster", scope, entries)
+        self.desk.tell("roster", scope, entries, as_of)
         if self.keep:
             self.keep(scope, entries, where)
 
-    async def serve(self):
-        while True:
-            await self.asked.wait()
-            self.asked = trio.Event()
-            try:
-                with trio.CancelScope() as self.asking:
-                    while True:
-                        begun = time.monotonic_ns()
-                        told = self.watch.answer(*await self.get())
-                        self.log_answer(begun, *told)
-                        self.learn(*told)
-                self.line.drop()
-            except (*LOST, Refused, ValueError) as cause:
-                self.failures += 1
-                error = str(cause)[:200] or type(cause).__name__
-                self.log("discovery failed", error=error, call_ms=elapsed_ms(begun), **self.standing())
-                self.line.drop()
-                self.asked = trio.Event()  # what was asked meanwhile is answered by this failure
-                self.desk.tell("roster", "failed", [])
+    async def make(self, call):
+        """Makes a call and tells what came of it, unless another one was answered meanwhile."""
+        told, cause = None, None
+        try:
+            with call.scope:
+                answer = await self.exchange(call)
+                if call in self.calls:
+                    told = self.watch.answer(*answer)
+        except (*LOST, Refused, ValueError) as error:
+            cause = error
+        if call not in self.calls:
+            call.line.drop()
+        elif told is None:
+            self.fail(call, cause)
+        else:
+            self.take(call, told)
+
+    async def exchange(self, call):
+        return await call.line.exchange(
+            call.wait + self.house["list_within"],
+            "GET",
+            self.watch.target(call.wait),
+            [("Host", "discovery")],
+        )
+
+    def take(self, call, told):
+        """An answer stands for all calls under way."""
+        self.calls.remove(call)
+        for other in list(self.calls):
+            self.give_up(other)
+        self.idle_line = call.line
+        self.log_answer(call, *told)
+        self.learn(*told, call.as_of(self.clock()))
+
+    def fail(self, call, cause):
+        """A late call's end is not told: its failure was counted when another one was made in its place."""
+        self.calls.remove(call)
+        call.line.drop()
+        if not call.is_late:
+            self.log_failure(call, str(cause)[:200] or type(cause).__name__)
+            self.desk.tell("roster", "failed", [])
 
     def standing(self):
         """For the log: what the list is worth. Its age is the time since discovery answered last."""
-        age = None if self.answered_at is None else elapsed_ms(self.answered_at)
+        age = None if self.answered_at is None else self.elapsed_ms(self.answered_at)
         return {"version": self.watch.index, "list_age_ms": age, "failures": self.failures}
 
-    def log_answer(self, begun, scope, entries, _):
+    def log_answer(self, call, scope, entries, _):
         """Logs an answer that brings news, or the first one behind a failure."""
         if entries or self.failures:
             unlisted = [name for name, state, *_ in entries if state != "ready"]
@@ -100,20 +158,14 @@
                 scope=scope,
                 entries=len(entries),
                 unlisted=unlisted[:NAMES_LOGGED],
-                call_ms=elapsed_ms(begun),
+                call_ms=self.elapsed_ms(call.begun),
                 **self.standing(),
             )
-        self.answered_at, self.failures = time.monotonic_ns(), 0
-
-    async def get(self):
-        return await self.line.exchange(
-            self.wait + self.house["list_within"],
-            "GET",
-            self.watch.target(self.wait),
-            [("Host", "discovery")],
-        )
+        self.answered_at, self.failures = self.clock(), 0
 
+    def log_failure(self, call, error):
+        self.failures += 1
+        self.log("discovery failed", error=error, call_ms=self.elapsed_ms(call.begun), **self.standing())
 
-def elapsed_ms(since):
-    """Milliseconds since a reading of the monotonic clock in nanoseconds."""
-    return (time.monotonic_ns() - since) // UNITS["m"]
+    def elapsed_ms(self, since):
+        return (self.clock() - since) // UNITS["m"]
