--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -38,7 +38,7 @@
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
     "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
     "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
-    "read_within": 2 * S, "write_within": 2 * S, "list_within": 4 * S, "notice_within": S // 4,
+    "read_within": 2 * S, "write_within": 2 * S, "list_within": 10 * S, "notice_within": S // 4,
     "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2,
     "learned_for": FORGET}
 
@@ -70,16 +70,16 @@
 
     def roster(self, now, scope, entries, as_of=None):
         """`as_of`: when the list was discovery's own, as far as is known; None: now."""
-        if scope == "failed":
+        if scope in ("failed", "ended"):
             self.watched = None
-            self.list.failed()
-            self.plan_list_call(now + self.list.retry_after(now), self.call_for_list)
+            self.list_call_failed(now, scope)
+            self.plan_list_call(now + self.list.retry_after(), self.call_for_list)
             return self.said()
         if scope == "saved":
             self.list.restored(now)
         else:
             self.watched = now
-            self.list.confirmed(now if as_of is None else as_of)
+            self.list.answered(now, now if as_of is None else as_of)
             if self.list.is_polled:
                 self.plan_list_call(now, self.call_for_list)
         if scope != "changes":
@@ -249,18 +249,23 @@
     def call_for_list(self, now, number):
         """Calls discovery, and plans the next call in case that one brings no answer in time."""
         if number == self.list_calls:
-            wait = self.list.call_wait(now)
-            self.acts.append(("watch", wait))
-            self.plan_list_call(now + self.list.late_after(wait), self.call_again)
+            self.acts.append(("watch", self.list.call_wait()))
+            self.plan_list_call(now + self.list.late_after(), self.call_again)
 
     def call_again(self, now, number):
         """Behind a call that has not answered; a watch that stands is left alone."""
         if number != self.list_calls or (self.watched is not None and not self.list.is_polled):
             return
         if self.list.is_polled:
-            self.list.failed()
+            self.list_call_failed(now, "late")
         self.call_for_list(now, number)
 
+    def list_call_failed(self, now, how):
+        if how == "ended":
+            self.list.ended(now)
+        else:
+            self.list.failed(now, is_late=how == "late")
+
     def late(self, msg):
         return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
 
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: calls for the list of endpoints, at most two at once; the decisions say when each is made."""
+"""Discovery: calls for the list of endpoints, one at a time; the decisions say when each is made."""
 
 import orjson
 import trio
@@ -8,8 +8,11 @@
 from courseroute.wire.words import UNITS, roster_of
 
 NAMES_LOGGED = 16  # endpoints that are draining or gone, named in one line of the log
-MOST_CALLS = 2  # one that is late, and the one made in its place
-WRITTEN_WITHIN = 1_000_000_000  # nanoseconds; discovery makes up an answer at most so long before it is read
+WORKED_ON = 1_000_000_000  # nanoseconds that discovery spends on a call at the most, beside its wait
+
+
+class TurnedAway(ValueError):
+    """An answer with another status than 200."""
 
 
 class Watch:
@@ -25,7 +28,7 @@
     def answer(self, status, body):
         """(scope, entries, addresses); ValueError where the answer is none, the whole list is asked then."""
         if status != 200:
-            raise ValueError(f"status {status}")
+            raise TurnedAway(f"status {status}")
         try:
             index, *told = roster_of(orjson.loads(body), self.listed_rates)
         except ValueError:
@@ -38,41 +41,39 @@
 class ListCall:
     """One call for the list; times are nanoseconds of the relay's clock."""
 
-    def __init__(self, line, wait, begun):
+    def __init__(self, line, wait, begun, continues):
         self.line, self.wait, self.begun = line, wait, begun
+        self.continues = continues  # it follows an answer at once, so that its watch goes on
         self.scope = trio.CancelScope()
-        self.is_late = False  # another one was made in its place
 
     def as_of(self, received):
         """When the list in its answer was discovery's own: one that waited in vain says all up to its end."""
         waited_until = self.begun + self.wait
         if received >= waited_until:
             return waited_until
-        return max(self.begun, received - WRITTEN_WITHIN)
+        return max(self.begun, received - WORKED_ON)
 
 
 class Discovery:
     def __init__(self, nursery, desk, hosts, house, place, watch, clock, log):
         self.nursery, self.desk, self.hosts, self.house = nursery, desk, hosts, house
         self.place, self.watch, self.clock, self.log = place, watch, clock, log
-        self.idle_line = None  # that of the last answer
-        self.calls = []  # under way, the newest last
+        self.call = None  # under way
+        self.idle_line = None  # that of the last answer, while its watch may go on
         self.keep = None  # told (scope, entries, addresses) too, where the list is kept
         self.answered_at, self.failures = None, 0  # time of the last answer, failed calls since
 
     def ask(self, wait):
-        """Makes one call, which discovery may let wait so long for news; the oldest of too many ends."""
-        if self.calls and not self.calls[-1].is_late:
-            self.calls[-1].is_late = True
-            self.log_failure(self.calls[-1], "no answer in time")
+        """Makes a call, which discovery may let wait so long for news; one under way ends, as it is late."""
+        if self.call:
+            self.log_failure(self.call, "no answer in time")
+            self.give_up()
         if self.failures or self.answered_at is None:
             self.log("discovery asked", wait_ms=wait // UNITS["m"], **self.standing())
-        while len(self.calls) >= MOST_CALLS:
-            self.give_up(self.calls[0])
-        line, self.idle_line = self.idle_line or self.new_line(), None
-        call = ListCall(line, wait if self.watch.index is not None else 0, self.clock())
-        self.calls.append(call)
-        self.nursery.start_soon(self.make, call)
+        line, self.idle_line = self.idle_line, None
+        wait = wait if self.watch.index is not None else 0
+        self.call = ListCall(line or self.new_line(), wait, self.clock(), continues=line is not None)
+        self.nursery.start_soon(self.make, self.call)
 
     def new_line(self):
         return Line(self.place, self.house["head"], self.house["list"])
@@ -80,16 +81,16 @@
     def move(self, place):
         """Discovery is elsewhere from now on: what waits at the old place is asked of the new one at once."""
         self.place, self.watch.index = place, None  # its versions are its own: the whole list first
-        for call in list(self.calls):
-            self.give_up(call)
+        if self.call:
+            self.give_up()
         if self.idle_line:
             self.idle_line.drop()
             self.idle_line = None
         self.ask(0)
 
-    def give_up(self, call):
-        self.calls.remove(call)
-        call.scope.cancel()
+    def give_up(self):
+        self.call.scope.cancel()
+        self.call = None
 
     def learn(self, scope, entries, where, as_of=None):
         if scope == "full":  # who left is not dialled again: another may have its address
@@ -103,46 +104,38 @@
             self.keep(scope, entries, where)
 
     async def make(self, call):
-        """Makes a call and tells what came of it, unless another one was answered meanwhile."""
+        """Makes a call and tells what came of it, unless it was given up meanwhile."""
         told, cause = None, None
         try:
             with call.scope:
-                answer = await self.exchange(call)
-                if call in self.calls:
+                answer = await call.line.exchange(
+                    call.wait + self.house["list_within"],
+                    "GET",
+                    self.watch.target(call.wait),
+                    [("Host", "discovery")],
+                )
+                if call is self.call:
                     told = self.watch.answer(*answer)
         except (*LOST, Refused, ValueError) as error:
             cause = error
-        if call not in self.calls:
+        if call is not self.call:
             call.line.drop()
         elif told is None:
             self.fail(call, cause)
         else:
             self.take(call, told)
 
-    async def exchange(self, call):
-        return await call.line.exchange(
-            call.wait + self.house["list_within"],
-            "GET",
-            self.watch.target(call.wait),
-            [("Host", "discovery")],
-        )
-
     def take(self, call, told):
-        """An answer stands for all calls under way."""
-        self.calls.remove(call)
-        for other in list(self.calls):
-            self.give_up(other)
-        self.idle_line = call.line
+        self.call, self.idle_line = None, call.line
         self.log_answer(call, *told)
         self.learn(*told, call.as_of(self.clock()))
 
     def fail(self, call, cause):
-        """A late call's end is not told: its failure was counted when another one was made in its place."""
-        self.calls.remove(call)
+        self.call = None
         call.line.drop()
-        if not call.is_late:
-            self.log_failure(call, str(cause)[:200] or type(cause).__name__)
-            self.desk.tell("roster", "failed", [])
+        self.log_failure(call, str(cause)[:200] or type(cause).__name__)
+        ended = call.continues and isinstance(cause, (*LOST, TurnedAway))
+        self.desk.tell("roster", "ended" if ended else "failed", [])
 
     def standing(self):
         """For the log: what the list is worth. Its age is the time since discovery answered last."""
