Nothing is sent by an endpoint list that may be out of date, until discovery is taken for down

What callers would see: requests at a draining server where discovery turns calls away for longer than the retries have time, as in the third case of the reproduction (7.5 s behind the change) and two more.

Change: 6 s and the grace, less 150 ms, after discovery last had the list for its own, sends are held (dispatch, and once more when a connection comes up) until it answers. Not while discovery is down: it said so by ending a watch, or calls have failed for 8 s. A restored list counts as 4.5 s old. The log names begin and end.

Considered: holding for as long as nothing answers (an outage of discovery would stop all service), and never holding.

Open: calls turned away for more than 8 s are taken for an outage. The list is used again then.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -52,7 +52,7 @@
         self.open, self.legs, self.turns, self.lines, self.shares = {}, {}, {}, Lines(self.at), {}
         self.measured, self.lost, self.areas, self.joined = {}, {}, {}, 0
         self.idled = Odds(EDGES[::3], 4 * MEMORY)   # lost calls by idle time, of new connections none
-        self.list = EndpointListSchedule(terms, self.draw)
+        self.list, self.holds_all = EndpointListSchedule(terms, self.draw), False
         self.busy, self.watched, self.list_calls, self.closing = 0, None, 0, 1 << 63
         self.nowhere = Destination(None)    # of all messages whose destination is not listed
         self.slots = terms.get("slots") or 1
@@ -163,6 +163,8 @@
             return HoldCause.CLOSED
         if not leg.host.listed:
             return HoldCause.NOT_LISTED
+        if self.list.is_unusable(now):
+            return HoldCause.LIST_TOO_OLD
         if now < leg.host.route.wait:
             return HoldCause.TOLD_WAIT
         return None if now < self.repeatable_until(leg.msg, leg.first) else HoldCause.WINDOW_CLOSED
@@ -261,10 +263,13 @@
         self.call_for_list(now, number)
 
     def list_call_failed(self, now, how):
+        first = self.list.failing_since is None
         if how == "ended":
             self.list.ended(now)
         else:
             self.list.failed(now, is_late=how == "late")
+        if first:       # then discovery may count as down, and what is held may go
+            self.at(self.list.taken_for_down_at(), int)
 
     def late(self, msg):
         return msg.deadline - (msg.lane.calls.quantile(0.5) or USUAL) - self.margin
@@ -439,12 +444,20 @@
     # Release: a slot for those whose second has come, in booking order.
 
     def release(self, now):
+        self.note_whether_list_is_unusable(now)
         for rt, msg in self.lines.walk():
             if not self.may_send(now, msg):     # a window may close while a message waits for its slot
                 self.end(now, msg, self.why_no_attempt(msg))
-            elif host := self.pick(now, rt, msg):
+            elif not self.holds_all and (host := self.pick(now, rt, msg)):
                 self.send(now, msg, rt, host)
 
+    def note_whether_list_is_unusable(self, now):
+        holds_all = self.list.is_unusable(now)
+        if holds_all != self.holds_all:
+            self.holds_all = holds_all
+            what = "may be out of date, nothing is sent" if holds_all else "is used again"
+            self.log(f"endpoint list {what}, failed calls {self.list.failures}")
+
     # Pick: hosts in ranked order, each filled up to a level before the next.
 
     def allowed(self, host, msg):
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -24,6 +24,7 @@
 NEW_LATE_AFTER, NEW_LATEST_AFTER = 2200 * MS, 10 * S  # the same for a call anew; discovery may be slow
 USUAL_TIMES, FORGET = 1.5, 0.9  # late is so many times what answers took; that fades by each answer
 FIRST_RETRY_AFTER = 1 * S  # at the most, and three quarters of it at the least
+TAKEN_FOR_DOWN_AFTER = 8 * S  # of failures: a crowded discovery takes a call of every relay sooner
 RESTART_TAKES = 4500 * MS  # from the last answer to one life until the next one starts, at the most
 
 
@@ -77,6 +78,18 @@
         if self.usable_for is not None:
             self.usable_until = now + self.usable_for
 
+    def is_unusable(self, now):
+        """Whether the list may be out of date by now, so that nothing may be sent by it. A discovery that is
+        down tells nobody anything, so its last list holds; but a crowded one turns calls away just so."""
+        return self.usable_until is not None and now >= self.usable_until and not self.is_down(now)
+
+    def is_down(self, now):
+        return self.went_down or (self.failing_since is not None and now >= self.taken_for_down_at())
+
+    def taken_for_down_at(self):
+        """When failures have lasted so long that discovery is down; only while they last."""
+        return self.failing_since + TAKEN_FOR_DOWN_AFTER
+
     def call_wait(self):
         """How long the next call may wait for news; one anew may not, as its answer confirms the list."""
         longest = self.ask_within // CALLS_IN_ASK_WITHIN
--- a/courseroute/model/causes.py
+++ b/courseroute/model/causes.py
@@ -25,6 +25,7 @@
 
     CLOSED = "message closed"
     NOT_LISTED = "endpoint draining or gone"
+    LIST_TOO_OLD = "endpoint list may be out of date"
     TOLD_WAIT = "told to wait"
     WINDOW_CLOSED = "idempotency window closed"
     NO_CONNECTION = "endpoint gone or no room for a connection"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -55,7 +55,7 @@
 
 
 # Guards against requests to a draining server because a turned-away call to discovery was repeated too late.
-@pytest.mark.parametrize("failures, how", [(1, 503), (2, 503), (3, 503), (2, "silent")])
+@pytest.mark.parametrize("failures, how", [(1, 503), (2, 503), (3, 503), (4, 503), (2, "silent")])
 def test_a_drain_behind_a_silent_watch_is_heeded_though_crowded_discovery_turns_calls_away(
     town, traffic, failures, how
 ):
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -1,8 +1,13 @@
 """When discovery is called again, and how long its list is used unconfirmed; time is held by hand."""
 
+import random
+
 import pytest
 from helpers import Relay, S, named
 
+from courseroute.decisions.endpoint_list import EndpointListSchedule
+from courseroute.model.causes import HoldCause
+
 MS = S // 1000
 TOLD_WITHIN, GRACE = 6 * S, 1 * S
 WATCH_WAIT = 1 * S
@@ -67,3 +72,62 @@
         while not named(relay.run(10 * MS), "watch"):
             pass
     assert least <= relay.now - before <= most
+
+
+def sends_of(relay, span):
+    """Times from now of the sends in a span in which a message comes every 100 ms."""
+    begun = relay.now
+    while relay.now < begun + span:
+        _, acts = relay.take(left=2 * S)
+        acts += relay.run(100 * MS, 50 * MS)
+        for _, message, host, _ in named(acts, "send"):
+            relay.back(message, "delivered", host=host)
+    return [at - begun for at, *_ in relay.sends()]
+
+
+# Guards against requests to a draining server while discovery turns all calls away, or all of them hang.
+@pytest.mark.parametrize("turned_away", [False, True])
+def test_nothing_is_sent_by_a_list_that_may_be_out_of_date_until_it_is_confirmed(turned_away):
+    relay = polling_relay()
+    if turned_away:
+        relay.tell("roster", "failed", [])
+    sends = sends_of(relay, TOLD_WITHIN + GRACE + 500 * MS)
+    assert TOLD_WITHIN < max(sends) < TOLD_WITHIN + GRACE - 150 * MS
+    relay.take()
+    acts = relay.tell("roster", "changes", [("a", "ready", "z", 4.0, "plain", "d")])
+    assert named(acts, "send")
+
+
+def test_an_attempt_whose_connection_comes_up_when_the_list_may_be_out_of_date_is_held():
+    relay = polling_relay()
+    relay.run(6 * S)
+    name, acts = relay.take()
+    assert named(acts, "send") and relay.relay.why_held(relay.now, name, 0) is None
+    relay.run(1 * S)
+    assert relay.relay.why_held(relay.now, name, 0) is HoldCause.LIST_TOO_OLD
+
+
+# Guards against a discovery that is down stopping all service: its last list is used again.
+def test_a_discovery_that_fails_for_long_counts_as_down_and_its_list_is_used_again():
+    relay = polling_relay()
+    relay.tell("roster", "failed", [])
+    relay.run(TOLD_WITHIN + GRACE)
+    name, acts = relay.take()
+    assert not named(acts, "send")
+    assert [act[1] for act in named(relay.run(2 * S), "send")] == [name]
+
+
+# Guards against a new life sending by a list that changed while no process ran.
+def test_a_restored_list_is_used_for_a_short_time_only():
+    schedule = EndpointListSchedule({"told_within": TOLD_WITHIN, "drain_grace": GRACE}, random.uniform)
+    schedule.restored(1000 * S)
+    assert not schedule.is_unusable(1002 * S) and schedule.is_unusable(1003 * S)
+
+
+# Guards against an outage of discovery that it told of stopping service for a time.
+def test_the_list_of_a_discovery_that_went_down_is_used_until_it_answers_again():
+    relay = polling_relay()
+    relay.tell("roster", "ended", [])
+    assert sends_of(relay, 20 * S)[-1] > 19 * S
+    relay.tell("roster", "changes", [])
+    assert sends_of(relay, 8 * S)[-1] < TOLD_WITHIN + GRACE
