A SIGHUP that moves discovery shortens the time for which the old list is used

What callers would see: requests at a draining server where the new discovery turns calls away behind a SIGHUP: the protocol counts its news as told 4 s after the signal, the list was used as if that were 6 s, or for ever where the old discovery had gone down.

Change: the decisions are told of a move. The old list is good for 4 s and the grace from there at the most, failures at the old address are forgotten, and the new one is called at once.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -101,6 +101,12 @@
                 self.part(now, host)
         return self.said()
 
+    def discovery_moved(self, now):
+        self.watched = None
+        self.list.moved(now)
+        self.plan_list_call(now, self.call_for_list)
+        return self.said()
+
     def part(self, now, host):
         """All that is kept of a host ends with it, a destination with its last one: ids are always new."""
         rt, dst = host.route, host.dst
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -32,7 +32,8 @@
     """Plans calls for the list from what became of earlier ones."""
 
     def __init__(self, terms, draw):
-        """`terms`: told_within, drain_grace and ask_within are read; `draw(low, high)`: a random number."""
+        """`terms`: told_within, moved_told_within, drain_grace and ask_within are read; `draw(low, high)`: a
+        random number."""
         self.draw = draw
         self.ask_within = terms.get("ask_within", 10 * S)
         # Each answer ends a call; else one watch stands until it fails.
@@ -40,6 +41,7 @@
         self.usable_for = None
         if self.is_polled and "drain_grace" in terms:
             self.usable_for = terms["told_within"] + terms["drain_grace"] - HELD_UP
+            self.usable_when_moved = terms["moved_told_within"] + terms["drain_grace"] - HELD_UP
         self.usable_until = None  # None where nothing limits it
         self.answer_takes = 0  # discovery's time for an answer, beside its wait; the longest of late
         self.late_in_a_row = 0  # calls anew that brought no answer, and none that was turned away since
@@ -78,6 +80,13 @@
         if self.usable_for is not None:
             self.usable_until = now + self.usable_for
 
+    def moved(self, now):
+        """Discovery is at another address: failures at the old one say nothing of the new one."""
+        self.watch_stands, self.failures, self.late_in_a_row = False, 0, 0
+        self.failing_since, self.went_down = None, False
+        if self.usable_until is not None:
+            self.usable_until = min(self.usable_until, now + self.usable_when_moved)
+
     def is_unusable(self, now):
         """Whether the list may be out of date by now, so that nothing may be sent by it. A discovery that is
         down tells nobody anything, so its last list holds; but a crowded one turns calls away just so."""
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -11,6 +11,7 @@
                                                 an entry is (host, state, area, rate, kind, destination),
                                                 state ready, draining or gone, rate None if not listed;
                                                 as_of: when the list was discovery's own, None: now
+    discovery_moved(now)                        it is called at another address from now on
     memory(now)                                 asked now and then: what the next life is to know, plain lists
     recall(now, told, at)                       that, told after the list of a new life, and when it was kept
     take(now, name, dst, lane, deadline, key, customer, again, legs)
@@ -45,7 +46,8 @@
     relays, number (this relay's among them, from 0), area, slots, room, legs, cancel, copies,
     stay_away (longest advice that clients heed), tick, connect_within, idle_close,
     drain_grace, ask (the list answers only when asked), ask_within, told_within (where each call for the
-    list is one exchange: a change counts as told so long after it was made), cold, cold_from, overload, fall,
+    list is one exchange: a change counts as told so long after it was made), moved_told_within (and so long
+    after discovery moved), cold, cold_from, overload, fall,
     rough (listed rates are), turn_gap, kinds (kind -> {apart, per_call}),
     customers (name -> quota a second), over_share (value kept),
     lanes (name -> {target, deadline, effect, group, window, value, late_value, ordered})
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -15,6 +15,7 @@
 from courseroute.wire.words import place_of
 
 TOLD_WITHIN = 6 * 10**9     # nanoseconds; what discovery has counts as told by then, whatever failed
+MOVED_TOLD_WITHIN = 4 * 10**9   # the same from a SIGHUP that moves it
 PLATFORM = {"listen": "ROUTER_LISTEN", "directory": "ROUTER_DISCOVERY", "state": "ROUTER_STATE",
             "name": "ROUTER_NAME"}
 
@@ -61,7 +62,7 @@
     """A Setup as the relay uses it: addresses as pairs, sizes in bytes, the module's terms."""
     terms = setup.terms()
     terms["ask"] = True             # on sockets the list answers only when asked
-    terms["told_within"] = TOLD_WITHIN
+    terms |= {"told_within": TOLD_WITHIN, "moved_told_within": MOVED_TOLD_WITHIN}
     return {
         "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
         "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -86,7 +86,7 @@
         if self.idle_line:
             self.idle_line.drop()
             self.idle_line = None
-        self.ask(0)
+        self.desk.tell("discovery_moved")
 
     def give_up(self):
         self.call.scope.cancel()
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -10,13 +10,13 @@
 
 MS = S // 1000
 TOLD_WITHIN, GRACE = 6 * S, 1 * S
+MOVED_TOLD_WITHIN = 4 * S
+TERMS = {"told_within": TOLD_WITHIN, "moved_told_within": MOVED_TOLD_WITHIN, "drain_grace": GRACE}
 WATCH_WAIT = 1 * S
 
 
 def polling_relay(**terms):
-    return Relay(
-        **{"ask": True, "ask_within": 10 * S, "told_within": TOLD_WITHIN, "drain_grace": GRACE} | terms
-    )
+    return Relay(**TERMS | {"ask": True, "ask_within": 10 * S} | terms)
 
 
 def calls_for_list(relay, span, answer=None):
@@ -119,7 +119,7 @@
 
 # Guards against a new life sending by a list that changed while no process ran.
 def test_a_restored_list_is_used_for_a_short_time_only():
-    schedule = EndpointListSchedule({"told_within": TOLD_WITHIN, "drain_grace": GRACE}, random.uniform)
+    schedule = EndpointListSchedule(TERMS, random.uniform)
     schedule.restored(1000 * S)
     assert not schedule.is_unusable(1002 * S) and schedule.is_unusable(1003 * S)
 
@@ -131,3 +131,16 @@
     assert sends_of(relay, 20 * S)[-1] > 19 * S
     relay.tell("roster", "changes", [])
     assert sends_of(relay, 8 * S)[-1] < TOLD_WITHIN + GRACE
+
+
+# Guards against requests to a draining server behind a SIGHUP that moves discovery, where the new one fails.
+@pytest.mark.parametrize("went_down", [False, True])
+def test_behind_a_move_of_discovery_the_old_list_is_used_for_as_long_as_it_is_good(went_down):
+    relay = polling_relay()
+    if went_down:
+        relay.tell("roster", "ended", [])
+    assert named(relay.tell("discovery_moved"), "watch") == [("watch", 0)]
+    relay.tell("roster", "failed", [])
+    relay.tell("discovery_moved")
+    sends = sends_of(relay, MOVED_TOLD_WITHIN + GRACE + 1 * S)
+    assert MOVED_TOLD_WITHIN < sends[-1] < MOVED_TOLD_WITHIN + GRACE - 100 * MS
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -390,7 +390,7 @@
     assert until(lambda: any("not read" in event["event"] for event in town.events()))
     town.configure()
     town.relay.send_signal(signal.SIGHUP)
-    here = [f"/v1/endpoints{ask}" for ask in ("", "?index=1&wait=2500")]
+    here = [f"/v1/endpoints{ask}" for ask in ("", "?index=1&wait=1000")]
     assert until(lambda: [path for _, path, port in town.watches[count:]
                           if port == town.moves][:2] == here, 1)
     town.posts.clear()
