A request that lay unread while the process stood still keeps its time

Cause: Desk.take counts the time left from when a request is read. A process that stood still reads it later by as long.

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -17,6 +17,7 @@
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
 from courseroute.run.logbook import say, set_log
+from courseroute.run.standstill import Standstills
 from courseroute.state.desk import Desk
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
@@ -65,6 +66,9 @@
         self.desk = desk = Desk(dispatcher, terms, house, log, told["memory"], self.clock, say)
         desk.learned = Learned(told["state"], say, learned, syncs)
         desk.syncer = Syncer(log, told["sync"], told["sync_every"], say)
+        standstills = Standstills(time.monotonic_ns)
+        trio.lowlevel.add_instrument(standstills)
+        desk.unread_for = standstills.unread_for
         listener = trio.socket.socket()
         listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
         await listener.bind(told["listen"])
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -46,6 +46,7 @@
         self.ends = OrderedDict()           # name -> delivered, returned, failed or over
         self.hosts = self.notices = self.discovery = self.alarm = self.leave = self.see_off = None
         self.waiting, self.telling, self.ready = deque(), False, False
+        self.unread_for = lambda: 0         # how long a request may have waited until it was read
         self.syncer = None
         self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
@@ -75,7 +76,8 @@
         if name in self.ends:
             return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
         now = self.clock()
-        msg = Held(name, told["dst"], told["lane"], now + told["left"], bytes(told["body"]),
+        deadline = now + told["left"] - self.unread_for()
+        msg = Held(name, told["dst"], told["lane"], deadline, bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
         if cause := self.why_refused(msg, gone):
             self.figures.count("closed", cause)
