News of the endpoint list are written to the folder at once, not within half a second

Ruled out: the list's age (the restored list was within its time), a message sent by the dead life (all requests came from the new one).

Only installations of one's own keep a list (Relay.roster); on the platform each start is handed it, and nothing changes there.

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -110,7 +110,7 @@
     def learn_known(self, watch):
         known = self.roster.read() if self.roster else self.told["known"]
         if self.roster:
-            self.desk.discovery.keep = self.roster.learn
+            self.desk.discovery.keep = self.roster.keep
             if known is None:       # a first start: the directory is asked for the whole list
                 return
         try:
--- a/courseroute/state/roster.py
+++ b/courseroute/state/roster.py
@@ -28,6 +28,12 @@
         except (OSError, ValueError):
             return None
 
+    def keep(self, scope, entries, where):
+        """Learns news and writes it at once: a process killed right behind it must not forget a drain."""
+        self.learn(scope, entries, where)
+        if entries:
+            self.write()
+
     def learn(self, scope, entries, where):
         """News as `Discovery.learn` has them; entries are (name, state, area, rate, kind, destination)."""
         if scope == "full":
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -233,3 +233,14 @@
         assert again.read() is None
     assert not Roster(str(tmp_path / "none"), 4000).write()
     assert [file.name for file in tmp_path.iterdir()] == ["list"]
+
+
+# Guards against requests to a draining server behind a kill, by the next life, which starts from that list.
+def test_news_of_the_list_are_in_the_folder_at_once(tmp_path):
+    roster = Roster(str(tmp_path), 4000)
+    where = {"h1": ("127.0.0.1", 80)}
+    roster.keep("full", [("h1", "ready", "z", 1.0, "k", "7")], where)
+    roster.keep("changes", [("h1", "draining", "z", 1.0, "k", "7")], {})
+    _, _, entries, _ = roster_of(Roster(str(tmp_path), 4000).read(), False)
+    assert [(name, state) for name, state, *_ in entries] == [("h1", "draining")]
+    assert not roster.write()  # nothing is left for later
