The log says why host connections close, and what bytes came behind which answer

Each connection to a host that is closed is counted by cause (figures, 'host connections closed.*'); bytes behind an answer get a line with the host, the id and status of the call answered last on that connection, the time since, and the first 40 bytes; 'attempt ended' names the call before on a kept connection.

No behaviour changes but the log.

--- a/courseroute/model/causes.py
+++ b/courseroute/model/causes.py
@@ -1,4 +1,4 @@
-"""Why a message was closed without a delivery, and why an attempt was not sent."""
+"""Why a message was closed without a delivery, an attempt not sent, a connection to a host closed."""
 
 import enum
 
@@ -29,3 +29,16 @@
     TOLD_WAIT = "told to wait"
     WINDOW_CLOSED = "idempotency window closed"
     NO_CONNECTION = "endpoint gone or no room for a connection"
+
+
+class ConnectionEnd(enum.StrEnum):
+    """Why the relay closed a connection to a host."""
+
+    ENDED_BY_HOST = "ended by the host"
+    BYTES_BEHIND_ANSWER = "bytes behind an answer"
+    IDLE_FOR_LONG = "idle for long"
+    ROOM_NEEDED = "room needed"
+    NOT_TRUSTED = "calls to this kind of host get lost"
+    ATTEMPT_HELD = "attempt not sent"
+    NO_WHOLE_ANSWER = "no whole answer"
+    ANSWER_SAYS_CLOSE = "answer says close"
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -26,6 +26,7 @@
     "configuration not",
     "connection failed",
     "call failed",
+    "bytes behind",
     "folder not",
 )
 ERRORS = ("fault",)
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -1,21 +1,37 @@
 """Connections to hosts that stand idle between calls; bounded, those in use counted too."""
-import select
+
+from typing import NamedTuple
+
+from courseroute.model.causes import ConnectionEnd
+from courseroute.wire.link import Link
+from courseroute.wire.unread import unread
+
+
+class Kept(NamedTuple):
+    """An idle connection, and since when it is one (nanoseconds of the pool's clock)."""
+
+    link: Link
+    since: int
 
 
 class Pool:
+    """`closed(link, cause, waiting)` is told each connection that the pool closes; `waiting` are the bytes
+    found unread on it, if any."""
+
     def __init__(self, most, keep_for, clock, fresh_for):
         self.most, self.keep_for, self.clock = most, keep_for, clock
-        self.fresh_for = fresh_for      # a method that tells how long one may have stood idle
+        self.fresh_for = fresh_for  # a method that tells how long one may have stood idle
+        self.closed = lambda link, cause, waiting=b"": None
         self.open = 0
-        self.kept = {}          # host -> [(connection, idle since)], the newest last
+        self.kept = {}  # host -> its Kept, the newest last
 
     def enter(self):
         """Room for one more connection; an idle one gives way. False when all are in use."""
         if self.open >= self.most:
-            oldest = min((lines[0][1], host) for host, lines in self.kept.items()) if self.kept else None
+            oldest = min(((kept[0].since, host) for host, kept in self.kept.items()), default=None)
             if oldest is None:
                 return False
-            self.drop(self.take(oldest[1], 0))
+            self.drop(self.take(oldest[1], 0).link, ConnectionEnd.ROOM_NEEDED)
         self.open += 1
         return True
 
@@ -23,42 +39,54 @@
         self.open -= 1
 
     def take(self, host, at):
-        conn, _ = self.kept[host].pop(at)
+        kept = self.kept[host].pop(at)
         if not self.kept[host]:
             del self.kept[host]
-        return conn
+        return kept
 
     def idle(self, host):
         """The newest idle connection that still stands, and its idle time: a dead one would lose the call."""
         while host in self.kept:
-            idle = self.clock() - self.kept[host][-1][1]
-            conn = self.take(host, -1)
-            if idle < min(self.keep_for, self.fresh_for()) and quiet(conn):
-                return conn, idle
-            self.drop(conn)
+            link, since = self.take(host, -1)
+            idle = self.clock() - since
+            if idle >= min(self.keep_for, self.fresh_for()):
+                self.drop(link, ConnectionEnd.IDLE_FOR_LONG)
+            elif self.drop_unless_quiet(link):
+                return link, idle
         return None, None
 
-    def keep(self, host, conn):
-        self.kept.setdefault(host, []).append((conn, self.clock()))
+    def keep(self, host, link):
+        self.kept.setdefault(host, []).append(Kept(link, self.clock()))
 
-    def drop(self, conn):
+    def drop(self, link, cause, waiting=b""):
         self.leave()
-        conn.close()
+        link.close()
+        self.closed(link, cause, waiting)
+
+    def drop_unless_quiet(self, link):
+        """Whether the connection stands and nothing came on it; else it is closed."""
+        waiting = unread(link.socket)
+        if waiting is None:
+            return True
+        self.drop(
+            link, ConnectionEnd.BYTES_BEHIND_ANSWER if waiting else ConnectionEnd.ENDED_BY_HOST, waiting
+        )
+        return False
 
     def close(self, host):
+        """Closes all idle connections to a host."""
         while host in self.kept:
-            self.drop(self.take(host, 0))
+            self.drop(self.take(host, 0).link, ConnectionEnd.NOT_TRUSTED)
 
     def sweep(self):
-        """Closes what stood idle for long, or was closed by its host."""
+        """Closes what stood idle for long, was closed by its host, or brought bytes that nobody asked for."""
         for host in list(self.kept):
-            stale = [i for i, (conn, since) in enumerate(self.kept[host])
-                     if self.clock() - since >= self.keep_for or not quiet(conn)]
-            for i in reversed(stale):
-                self.drop(self.take(host, i))
-
+            standing = [kept for kept in self.kept.pop(host) if self.still_stands(kept)]
+            if standing:
+                self.kept[host] = standing
 
-def quiet(conn):
-    poll = select.poll()
-    poll.register(conn.socket.fileno(), select.POLLIN | select.POLLRDHUP)
-    return not poll.poll(0)
+    def still_stands(self, kept):
+        if self.clock() - kept.since >= self.keep_for:
+            self.drop(kept.link, ConnectionEnd.IDLE_FOR_LONG)
+            return False
+        return self.drop_unless_quiet(kept.link)
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -4,13 +4,14 @@
 
 import trio
 
-from courseroute.model.causes import HoldCause
+from courseroute.model.causes import ConnectionEnd, HoldCause
 from courseroute.wire import words
 from courseroute.wire.http import Refused
-from courseroute.wire.link import LOST, Link
+from courseroute.wire.link import LOST, Exchange, Link
 
 # Errors of a connection that was up once.
 BROKE = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)
+BYTES_LOGGED = 40  # of those that came behind an answer
 UNREMARKABLE = ("delivered", "full")  # endings of first attempts that are counted, but not logged
 
 
@@ -22,6 +23,7 @@
         self.connect_within = terms.get("connect_within", house["write_within"])
         self.log = log
         self.where, self.scopes = {}, {}
+        pool.closed = self.note_closed
 
     def call(self, msg, n, host, until):
         scope = self.scopes[(msg.name, n)] = trio.CancelScope()
@@ -86,6 +88,8 @@
             "sent_ms": milliseconds(attempt.sent),
             "ended_ms": milliseconds(attempt.elapsed()),
         }
+        if attempt.call_before:
+            told["call_before"] = attempt.call_before.id
         if attempt.held:
             told["held"] = attempt.held
         if repeated is not None:
@@ -93,6 +97,20 @@
             told |= {"first_ms": milliseconds(first - attempt.begun), "window_ms": milliseconds(window)}
         self.log("attempt ended", **told)
 
+    def note_closed(self, link, cause, waiting=b""):
+        """Counts a connection that was closed; logs bytes that no call asked for, with the call before."""
+        self.desk.figures.count("host connections closed", cause)
+        before = link.last_exchange
+        if cause is ConnectionEnd.BYTES_BEHIND_ANSWER and before:
+            self.log(
+                "bytes behind an answer",
+                host=before.host,
+                id=before.id,
+                status=before.status,
+                found_ms=milliseconds(self.clock() - before.answered_at),
+                bytes=repr(waiting[:BYTES_LOGGED]),
+            )
+
     def unsent(self, msg, n, host):
         """For a call that must not leave; the module is told a little later, lest it try at once for ever."""
         self.nursery.start_soon(self.say_unsent, msg, n, host)
@@ -114,6 +132,7 @@
         self.held = None  # a HoldCause: why it was not sent
         self.broke = False
         self.idle = None  # how long its connection had stood idle, None for a new one
+        self.call_before = None  # the Exchange before on a kept connection
 
     def elapsed(self):
         return self.hosts.clock() - self.begun
@@ -122,6 +141,7 @@
         hosts = self.hosts
         await hosts.desk.settled()
         self.link, self.idle = hosts.pool.idle(self.host)
+        self.call_before = self.link and self.link.last_exchange
         self.link = self.link or await self.connect()
         if self.link is None:
             self.held = HoldCause.NO_CONNECTION
@@ -182,17 +202,28 @@
 
     async def drain(self):
         """Reads the answer to its end, within bounds, so that the connection can be used again."""
+        call, now = self.link.call, self.hosts.clock()
+        self.link.last_exchange = Exchange(self.host, self.msg.name, call.status, now)
         with trio.move_on_after(self.hosts.house["drain_answer"] / 1e9):
             await self.link.hear_all()
-        if self.link.call.reusable():
+        if call.reusable():
             self.hosts.pool.keep(self.host, self.link)
             self.link = None
 
     def close(self):
         if self.link is not None:
-            self.hosts.pool.drop(self.link)
+            call = self.link.call
+            self.hosts.pool.drop(self.link, self.why_closed(call), call.superfluous())
             self.link = None
 
+    def why_closed(self, call):
+        """The ConnectionEnd of a connection that is not kept."""
+        if self.sent is None:
+            return ConnectionEnd.ATTEMPT_HELD
+        if not call.done:
+            return ConnectionEnd.NO_WHOLE_ANSWER
+        return ConnectionEnd.BYTES_BEHIND_ANSWER if call.superfluous() else ConnectionEnd.ANSWER_SAYS_CLOSE
+
 
 def milliseconds(span):
     """A span of nanoseconds for the log; None stays None."""
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -201,11 +201,15 @@
     def body(self):
         return b"".join(self.parts)
 
+    def superfluous(self):
+        """Bytes that came behind a whole answer, which no call has asked for."""
+        return bytes(self.h11.trailing_data[0]) if self.done else b""
+
     def reusable(self):
         """Ready for the next call, unless one side wants the connection closed."""
         if not self.done or self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
-        if self.h11.trailing_data[0]:
+        if self.superfluous():
             return False
         self.h11.start_next_cycle()
         return True
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -1,18 +1,29 @@
 """A connection that this relay opened, its machine beside it: shared by the drivers that call out."""
+
 import contextlib
 import fcntl
 import math
 import struct
 import sys
 import termios
+from typing import NamedTuple
 
 import trio
 
 from courseroute.wire.http import Call, Refused
 
-LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)      # a connection that broke
-STANDS_STILL_S = 0.5        # an answer that began and of which nothing more comes is spoilt
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)        # SO_LINGER: on, for no time
+LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)  # a connection that broke
+STANDS_STILL_S = 0.5  # an answer that began and of which nothing more comes is spoilt
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
+
+
+class Exchange(NamedTuple):
+    """A call that was answered on a connection; `answered_at` in nanoseconds of the caller's clock."""
+
+    host: str
+    id: str
+    status: int
+    answered_at: int
 
 
 class Link:
@@ -21,6 +32,7 @@
         self.chunk = head_limit
         self.socket = trio.socket.socket()
         self.stream = None
+        self.last_exchange = None  # the last one that was answered, for the log
 
     async def dial(self, place):
         try:
@@ -46,7 +58,7 @@
         """Bytes written that the peer's system has not acknowledged; 0 where nobody can tell."""
         try:
             count = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
-        except (OSError, ValueError):       # ValueError: it is closed
+        except (OSError, ValueError):  # ValueError: it is closed
             return 0
         return int.from_bytes(count, sys.byteorder)
 
@@ -64,12 +76,12 @@
 
     def __init__(self, place, head_limit, body_limit):
         self.place, self.limits, self.link, self.dialled = place, (head_limit, body_limit), None, None
-        self.heard_at = None        # trio's time of the last answer's first byte, None before it
+        self.heard_at = None  # trio's time of the last answer's first byte, None before it
 
     async def exchange(self, within, method, target, headers, body=b""):
         """(status, body) of the answer; raises one of LOST or Refused where none came in time."""
         self.heard_at = None
-        if self.dialled != self.place:      # the place moved while the link stood idle
+        if self.dialled != self.place:  # the place moved while the link stood idle
             self.drop()
         kept = self.link is not None
         try:
@@ -85,7 +97,7 @@
                 return told
         except (*LOST, Refused):
             self.drop()
-            if kept and self.heard_at is None:      # the other side may have closed it while it stood idle
+            if kept and self.heard_at is None:  # the other side may have closed it while it stood idle
                 return await self.exchange(within, method, target, headers, body)
             raise
         self.drop()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,7 +10,7 @@
 from courseroute.journal.faulty import FaultyDisk
 from courseroute.journal.frames import OWED
 from courseroute.journal.store import Journal
-from courseroute.model.causes import CloseCause
+from courseroute.model.causes import CloseCause, ConnectionEnd
 from courseroute.state.desk import END, Desk
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
@@ -45,6 +45,19 @@
     assert (pool.idle("h")[0] is pipe) == reused and pool.open == int(reused)
 
 
+def test_the_pool_says_why_it_closed_a_connection_and_what_waited_on_it():
+    pool, closed = Pool(1, 8 * S, lambda: 0, lambda: 9 * S), []
+    pool.closed = lambda _, cause, waiting=b"": closed.append((cause, waiting))
+    for spoil in (lambda peer: peer.send(b"HTTP/1.1 503"), lambda peer: peer.close()):
+        assert pool.enter()
+        pipe = Pipe()
+        pool.keep("h", pipe)
+        spoil(pipe.peer)
+        pool.sweep()
+    behind = ConnectionEnd.BYTES_BEHIND_ANSWER, b"HTTP/1.1 503"
+    assert closed == [behind, (ConnectionEnd.ENDED_BY_HOST, b"")]
+
+
 def test_the_pool_is_bounded_and_idle_connections_make_room():
     pool = Pool(2, 8 * S, lambda: 0, lambda: S)
     assert pool.enter() and pool.enter() and not pool.enter()
