Failing test: a late copy of an answer delivers the next message on the connection

The next message leaves 0.2 ms behind the answer; the copy comes while it waits, its host refuses it after 80 ms, and the relay neither sends it again nor ends it by a notice.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -82,8 +82,8 @@
 class Town(ScriptedTown):
     """A scripted town with one relay beside it, started as the deploy file has it."""
 
-    def __init__(self, folder, limits=None, known=True, slots=8):
-        super().__init__()
+    def __init__(self, folder, limits=None, known=True, slots=8, hosts=("h1", "h2")):
+        super().__init__(hosts)
         self.folder, self.relay, self.known = folder, None, known
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1,14 +1,24 @@
-"""A TCP proxy before one address, which makes connections come up late or holds their bytes back."""
+"""A TCP proxy before one address: connections come up late, bytes are held back, answers come twice."""
 
 import contextlib
 import select
 import socket
 import threading
+import time
+from typing import NamedTuple
 
 POLL_S = 0.01
 CHUNK = 65536
 
 
+class Copies(NamedTuple):
+    """Which answers come twice: those that begin with `head`, again `after_s` seconds later; None: as the
+    next request on the connection has passed."""
+
+    head: bytes
+    after_s: float | None
+
+
 class Proxy:
     """Passes bytes on both ways. All switches may be used from any thread; `close` ends it."""
 
@@ -26,6 +36,7 @@
         self.accepting.set()
         self.passing.set()
         self.fillers = []
+        self.copies, self.copied = None, 0  # Copies to make, and how many were made
         self.threads = [threading.Thread(target=self.accept, daemon=True)]
         self.threads[0].start()
 
@@ -75,10 +86,21 @@
 
     def connection(self, client):
         with client, socket.create_connection(self.place) as server, contextlib.suppress(OSError):
+            copy = due = None  # of an answer: its bytes, and when they are to be sent
             while not self.ended.is_set():
                 wanted = [server, client] if self.passing.is_set() else [server]
-                for source in select.select(wanted, [], [], POLL_S)[0]:
+                wait = POLL_S if due is None else min(POLL_S, max(0, due - time.monotonic()))
+                for source in select.select(wanted, [], [], wait)[0]:
                     data = source.recv(CHUNK)
                     if not data:
                         return
                     (server if source is client else client).sendall(data)
+                    if source is server and self.copies and data.startswith(self.copies.head):
+                        copy, after_s = data, self.copies.after_s
+                        due = None if after_s is None else time.monotonic() + after_s
+                    elif source is client and copy and due is None:
+                        due = time.monotonic()
+                if due is not None and time.monotonic() >= due:
+                    client.sendall(copy)
+                    self.copied += 1
+                    copy = due = None
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,55 @@
+"""Second copies of answers before a real relay: none may count as the answer to the next call."""
+
+import time
+
+import pytest
+from helpers import Town, until
+from proxy import Copies, Proxy
+
+PAIRS = 4
+ANSWER_AFTER_S = 0.08
+DELIVERED = b"HTTP/1.1 200"
+
+
+@pytest.fixture
+def town(tmp_path):
+    """One host, one call at a time: the next call leaves as soon as the one before is answered."""
+    town = Town(tmp_path, slots=1, hosts=("h1",))
+    yield town
+    town.close()
+
+
+@pytest.fixture
+def proxy(town):
+    """Before the host."""
+    places = town.where["h1"]
+    proxy = Proxy(places[0])
+    places[:] = [proxy.address]
+    yield proxy
+    proxy.close()
+
+
+def hand_in_pairs(town, lane):
+    """Each b is handed in while its a is out."""
+    for i in range(PAIRS):
+        assert town.hand_in(f"a{i}", lane) == 202
+        assert until(lambda i=i: town.sent(f"a{i}"))
+        assert town.hand_in(f"b{i}", lane) == 202
+        assert until(lambda i=i: town.sent(f"b{i}"))
+        time.sleep(2 * ANSWER_AFTER_S)
+
+
+# Guards against a message being taken as delivered by a second copy of the answer to the call before it.
+@pytest.mark.parametrize("after_s", [0.004, 0.02])
+def test_a_late_copy_of_a_delivery_does_not_deliver_the_next_message(town, proxy, after_s):
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        is_refused = call["id"].startswith("b") and len(town.sent(call["id"])) == 1
+        return (503, {"Slots-Taken": "1"}) if is_refused else (200, {})
+
+    town.plan, proxy.copies = plan, Copies(DELIVERED, after_s)
+    town.start()
+    hand_in_pairs(town, "order")
+    refused = [f"b{i}" for i in range(PAIRS)]
+    assert until(lambda: all(len(town.sent(name)) == 2 for name in refused), 9)
+    assert proxy.copied >= PAIRS and not town.notices
