A connection rests for 50 ms behind an answer before the next call uses it

A host, or what stands before it, wrote its answer twice; the second copy came some milliseconds later, when the next call was already written on the connection (reuse takes 0.2 ms where messages wait), and was read as that call's answer. HTTP/1.1 ties an answer to a call by order alone, and the look at the connection in Pool.idle only sees what has come by then.

Now Pool.idle lends only connections that have stood idle for REST_NS since their last answer was read; what comes meanwhile closes the connection, as before. Where none has rested a new one is made.

--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from courseroute.model.causes import ConnectionEnd
-from courseroute.wire.link import Link
+from courseroute.wire.link import REST_NS, Link
 from courseroute.wire.unread import unread
 
 
@@ -45,9 +45,11 @@
         return kept
 
     def idle(self, host):
-        """The newest idle connection that still stands, and its idle time: a dead one would lose the call."""
-        while host in self.kept:
-            link, since = self.take(host, -1)
+        """The newest idle connection that has rested and still stands, and its idle time, else (None, None).
+        A dead one would lose the call. On one used at once a second copy of its last answer, which comes a
+        little later, would be taken for the answer to the next call."""
+        while (at := self.newest_rested(host)) is not None:
+            link, since = self.take(host, at)
             idle = self.clock() - since
             if idle >= min(self.keep_for, self.fresh_for()):
                 self.drop(link, ConnectionEnd.IDLE_FOR_LONG)
@@ -55,6 +57,12 @@
                 return link, idle
         return None, None
 
+    def newest_rested(self, host):
+        """Its place among those kept to the host, None where there is none."""
+        used_before = self.clock() - REST_NS
+        rested = [at for at, kept in enumerate(self.kept.get(host, ())) if kept.since <= used_before]
+        return rested[-1] if rested else None
+
     def keep(self, host, link):
         self.kept.setdefault(host, []).append(Kept(link, self.clock()))
 
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -14,6 +14,7 @@
 
 LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)  # a connection that broke
 STANDS_STILL_S = 0.5  # an answer that began and of which nothing more comes is spoilt
+REST_NS = 50_000_000  # behind an answer, before the next call: what comes in it belongs to no call
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -15,6 +15,7 @@
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
+from courseroute.wire.link import REST_NS
 from courseroute.wire.notices import Notices
 from courseroute.wire.words import roster_of
 
@@ -30,8 +31,10 @@
 
 
 @pytest.mark.parametrize("age, fresh, spoil, reused", [
-    (0, 9 * S, None, True), (7 * S, 9 * S, None, True), (8 * S, 9 * S, None, False), (S, S, None, False),
-    (0, S, lambda pipe: pipe.peer.close(), False), (0, S, lambda pipe: pipe.peer.send(b"x"), False),
+    (REST_NS - 1, 9 * S, None, False), (REST_NS, 9 * S, None, True), (7 * S, 9 * S, None, True),
+    (8 * S, 9 * S, None, False), (S, S, None, False),
+    (REST_NS, S, lambda pipe: pipe.peer.close(), False),
+    (REST_NS, S, lambda pipe: pipe.peer.send(b"x"), False),
 ])
 def test_an_idle_connection_is_used_again_only_while_it_surely_stands(age, fresh, spoil, reused):
     now = [100 * S]
@@ -42,7 +45,18 @@
     now[0] += age
     if spoil:
         spoil(pipe)
-    assert (pool.idle("h")[0] is pipe) == reused and pool.open == int(reused)
+    assert (pool.idle("h")[0] is pipe) == reused and pool.open == int(reused or age < REST_NS)
+
+
+# Guards against a late copy of an answer being read as the answer to the next call.
+def test_the_newest_connection_that_has_rested_is_used():
+    now = [100 * S]
+    pool, pipes = Pool(3, 8 * S, lambda: now[0], lambda: 9 * S), [Pipe(), Pipe(), Pipe()]
+    for pipe in pipes:
+        assert pool.enter()
+        pool.keep("h", pipe)
+        now[0] += REST_NS * 2 // 3
+    assert [pool.idle("h")[0] for _ in pipes] == [pipes[1], pipes[0], None]
 
 
 def test_the_pool_says_why_it_closed_a_connection_and_what_waited_on_it():
