An endpoint list that was too old for one life is too old for the next

Trace of one (logs of n3): three calls to discovery without an answer, 'endpoint list may be out of date, nothing is sent', SIGKILL, and the next life sent from the list at once.

While calls to discovery fail, Dispatcher.memory now keeps until when the list is usable and whether discovery said that it goes down, and recall holds the next life to it. The entry stands under a name that no host has, so that the version before passes over it.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -33,6 +33,7 @@
 LAST_SEND, LEAVE = 2400 * MS, 3000 * MS     # from the word to stop on
 OF_ROUTE = "headroom", "learned", "reported", "refused", "grown", "cut", "strict", "wait", "usual"
 OF_HOST = "evidence", "ill", "out", "aside", "rest", "trial", "climb"       # these outlast a restart
+ENDPOINT_LIST = ""      # in `memory`: a name that no host has, so that earlier versions pass over it
 USUAL_SPAN = 4 * S              # the pace before an outage is counted over two such spans, the last one begun
 HOUSE = {       # the relay's: shares of its descriptors, memory and disk, then sizes, then times
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
@@ -122,14 +123,18 @@
 
     def memory(self, now):
         """What the next life is told after the list, lest it burst upon hosts that push back or are out."""
-        return [[host.name, parts(host, OF_HOST), parts(host.route, OF_ROUTE)]
+        told = [[host.name, parts(host, OF_HOST), parts(host.route, OF_ROUTE)]
                 for host in self.hosts.values()
                 if host.trial or host.climb or host.route.refused is not None or host.route.wait > now]
+        of_list = self.list.memory()
+        return [*told, [ENDPOINT_LIST, of_list, []]] if of_list else told
 
     def recall(self, now, told, at):
         """What was learned ages: a wait holds to its end, a budget relaxes, after a minute nothing binds."""
         age = max(0, now - at) if at else 0
         for name, of_host, of_route in told:
+            if name == ENDPOINT_LIST:
+                self.list.recall(of_host)
             if host := self.hosts.get(name):
                 rt = host.route
                 set_parts(rt, OF_ROUTE, of_route)
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -56,6 +56,18 @@
         """The list is the one that the last life had."""
         self.confirm(now - RESTART_TAKES)
 
+    def memory(self):
+        """What the next life is to know while calls fail, for `recall`; empty while discovery answers."""
+        has_failed = self.failing_since is not None or self.went_down
+        return [self.usable_until, self.went_down] if has_failed else []
+
+    def recall(self, told):
+        """A restart makes the list no younger. A discovery that said it goes down is down for the next life
+        too; one that only failed has to fail anew for that long, as it may be crowded."""
+        usable_until, self.went_down = told
+        if usable_until is not None and self.usable_until is not None:
+            self.usable_until = min(self.usable_until, usable_until)
+
     def answered(self, now, as_of):
         """Discovery answered: the list was its own at `as_of`."""
         self.answer_takes = max(now - as_of, self.answer_takes * FORGET)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -67,6 +67,20 @@
     assert latest_to(town, "h1", drained) <= TOLD_WITHIN_S + GRACE_S
 
 
+# Guards against requests to a draining server because a restart made an endpoint list usable again.
+def test_a_list_that_was_too_old_for_one_life_is_too_old_for_the_next(town, traffic):
+    town.start()
+    drained = drain_behind_a_silent_watch(town, lambda n: "silent")
+    assert until(lambda: any("out of date" in event["event"] for event in town.events()), 12)
+    town.end()
+    assert town.start()
+    traffic()
+    assert until(lambda: time.time() > drained + TOLD_WITHIN_S + GRACE_S + 1.5, 12)
+    town.discovery_plan = lambda n: None
+    assert until(lambda: latest_to(town, "h2", drained) > TOLD_WITHIN_S + GRACE_S)
+    assert latest_to(town, "h1", drained) <= TOLD_WITHIN_S + GRACE_S
+
+
 # Guards against requests to a draining server because the answer that told of it came spoilt.
 @pytest.mark.parametrize("spoilt", ["half", "noise"])
 def test_what_a_spoilt_answer_told_counts_as_told(town, traffic, spoilt):
