A copy that meets a later call is passed over where a host's answers differ

Call keeps the answer before on its connection (status, head, length and CRC-32 of the body); where a host's bodies have been seen to differ, an answer on a kept connection that equals the one before is passed over, logged ('answer came twice') and the call goes on waiting for its own; the connection is not used again. A host that then sends no other answer loses that standing, so that one which answers alike is met once.

--- a/courseroute/town/scripted.py
+++ b/courseroute/town/scripted.py
@@ -2,7 +2,8 @@
 
 For tests, and for trying things out: the town's own hosts and directory (`hosts`, `platform`), on
 a trio loop in a thread of its own, steered from the one that made it. A plan is told each call as a map
-(id, key, host, body, port, n, at) and returns (status, headers), "hang", "drop", or bytes to be sent as is.
+(id, key, host, body, port, n, at) and returns (status, headers), the same with a body, "hang", "drop", or
+bytes to be sent as is.
 """
 
 import threading
@@ -53,8 +54,8 @@
         elif plan == "drop":
             sock.shutdown(trio.socket.SHUT_RDWR)
         else:
-            status, headers = plan
-            await stream.send_all(machine.answer(status, list(headers.items())))
+            status, headers, *body = plan
+            await stream.send_all(machine.answer(status, list(headers.items()), *body))
             return not machine.over
         return False
 
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -1,5 +1,6 @@
 """Thin driver for attempts at hosts: one task each, connections kept in the pool between attempts."""
 
+import contextlib
 import math
 
 import trio
@@ -23,6 +24,7 @@
         self.connect_within = terms.get("connect_within", house["write_within"])
         self.log = log
         self.where, self.scopes = {}, {}
+        self.tells_apart = set()  # hosts whose answers differ in the body, so that an equal one is a copy
         pool.closed = self.note_closed
 
     def call(self, msg, n, host, until):
@@ -47,6 +49,8 @@
         except Exception as cause:  # one attempt's odd answer must not end the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.scopes[(msg.name, n)]
+        if attempt.copies and not attempt.link.call.settled:  # no other answer came: it was none
+            self.tells_apart.discard(host)
         told, report = self.outcome_of(attempt, scope)
         self.note(attempt, told[0])
         try:
@@ -111,6 +115,27 @@
                 bytes=repr(waiting[:BYTES_LOGGED]),
             )
 
+    def note_copy(self, attempt):
+        """Logs an answer that came once more behind the next call, to which it is none."""
+        before = attempt.call_before
+        self.desk.figures.count("answers", "came twice")
+        self.log(
+            "answer came twice",
+            host=attempt.host,
+            id=attempt.msg.name,
+            call_before=before and before.id,
+            status=attempt.link.call.status,
+            sent_ms=milliseconds(attempt.sent),
+            came_ms=milliseconds(attempt.answered),
+        )
+
+    def learn_answers(self, host, call):
+        """Keeps whether a host's answers can be told apart."""
+        if call.tells_answers_apart():
+            self.tells_apart.add(host)
+            if len(self.tells_apart) > len(self.where):
+                self.tells_apart &= self.where.keys()
+
     def unsent(self, msg, n, host):
         """For a call that must not leave; the module is told a little later, lest it try at once for ever."""
         self.nursery.start_soon(self.say_unsent, msg, n, host)
@@ -133,6 +158,7 @@
         self.broke = False
         self.idle = None  # how long its connection had stood idle, None for a new one
         self.call_before = None  # the Exchange before on a kept connection
+        self.copies = 0  # of the answer to that one, which were disregarded
 
     def elapsed(self):
         return self.hosts.clock() - self.begun
@@ -175,6 +201,14 @@
         return math.inf if send_by is None else max(0, send_by - self.hosts.clock()) / 1e9
 
     async def hear_answer(self):
+        await self.hear_settled()
+        while await self.is_copy():
+            self.hosts.note_copy(self)
+            self.link.call.disregard()
+            self.answered, self.copies = None, self.copies + 1
+            await self.hear_settled()
+
+    async def hear_settled(self):
         call, hosts = self.link.call, self.hosts
         while not call.settled:  # an answer that began and stands still is spoilt
             with trio.fail_after(hosts.house["drain_answer"] / 1e9 if call.begun else math.inf):
@@ -182,6 +216,15 @@
             if self.answered is None:
                 self.answered = self.elapsed()
 
+    async def is_copy(self):
+        """Whether the answer is that to the call before on the connection, which came once more."""
+        call = self.link.call
+        if self.host not in self.hosts.tells_apart or not call.repeats_head_before():
+            return False
+        with contextlib.suppress(*LOST, Refused), trio.move_on_after(self.hosts.house["drain_answer"] / 1e9):
+            await self.link.hear_all()
+        return call.repeats_answer_before()
+
     async def connect(self):
         """None where the host left or there is no room for a connection; TimeoutError where none comes up."""
         hosts, up = self.hosts, False
@@ -206,7 +249,8 @@
         self.link.last_exchange = Exchange(self.host, self.msg.name, call.status, now)
         with trio.move_on_after(self.hosts.house["drain_answer"] / 1e9):
             await self.link.hear_all()
-        if call.reusable():
+        self.hosts.learn_answers(self.host, call)
+        if call.reusable() and not self.copies:
             self.hosts.pool.keep(self.host, self.link)
             self.link = None
 
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 as state machines that are fed bytes and know no socket; h11 parses."""
 
 import re
+import zlib
+from typing import NamedTuple
 
 import h11
 
@@ -126,20 +128,34 @@
         return self.h11.our_state in (h11.CLOSED, h11.MUST_CLOSE, h11.ERROR)
 
 
+class Answer(NamedTuple):
+    """A whole answer as far as it is needed to tell two apart; the body by its length and CRC-32."""
+
+    status: int
+    headers: dict
+    size: int
+    checksum: int
+
+
 class Call:
     """The side that calls: one connection, one call at a time."""
 
     def __init__(self, head_limit, body_limit, keeps=True):
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
+        self.head_limit = head_limit
         self.body_limit, self.keeps = body_limit, keeps  # a longer body is an error
+        self.answer_before = None  # the Answer to the call before on this connection
         self.start()
 
     def start(self):
         self.status, self.headers, self.parts, self.size, self.done = None, {}, [], 0, False
+        self.checksum = 0
         self.first = None  # the status by the first line, which may be whole in a head that is not
 
     def begin(self, method, target, headers, body=b""):
         """The head's bytes; the body goes out behind them as it is."""
+        if self.done:
+            self.answer_before = self.answer()
         self.start()
         headers = [*headers, ("Content-Length", str(len(body)))]
         try:
@@ -172,6 +188,7 @@
                     self.size += len(event.data)
                     if self.size > self.body_limit:
                         raise Refused(413, "answer too large")
+                    self.checksum = zlib.crc32(event.data, self.checksum)
                     if self.keeps:
                         self.parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
@@ -201,6 +218,35 @@
     def body(self):
         return b"".join(self.parts)
 
+    def answer(self):
+        return Answer(self.status, self.headers, self.size, self.checksum)
+
+    def repeats_head_before(self):
+        """Whether the head equals that of the answer before on the connection."""
+        before = self.answer_before
+        return before is not None and (before.status, before.headers) == (self.status, self.headers)
+
+    def repeats_answer_before(self):
+        """Whether this whole answer, which has a body, equals the one before on the connection."""
+        return self.done and self.size > 0 and self.answer() == self.answer_before
+
+    def tells_answers_apart(self):
+        """Whether this answer and the one before on the connection, of one status, differ in the body."""
+        before = self.answer_before
+        if before is None or not self.done or before.status != self.status:
+            return False
+        return min(before.size, self.size) > 0 and before.checksum != self.checksum
+
+    def disregard(self):
+        """What was read is no answer to the call that is out: reads on with what came behind it."""
+        behind = self.superfluous()
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=self.head_limit)
+        self.h11.send(h11.Request(method="POST", target="/", headers=[("Host", "-")]))
+        self.h11.send(h11.EndOfMessage())
+        self.start()
+        if behind:
+            self.feed(behind)
+
     def superfluous(self):
         """Bytes that came behind a whole answer, which no call has asked for."""
         return bytes(self.h11.trailing_data[0]) if self.done else b""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -65,6 +65,30 @@
     assert proxy.copied >= PAIRS and not town.notices
 
 
+# Guards against the same where the copy comes so late that it meets a call on a connection that has rested.
+def test_a_copy_that_meets_a_later_call_does_not_deliver_its_message(town, proxy):
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        is_refused = call["id"].startswith("b") and len(town.sent(call["id"])) == 1
+        return (503, {"Slots-Taken": "1"}) if is_refused else (200, {}, b"%016x" % call["n"])
+
+    town.plan = plan
+    town.start()
+    for name in ("first", "second"):
+        assert town.hand_in(name, "order") == 202
+        assert until(lambda name=name: town.sent(name))
+        time.sleep(3 * ANSWER_AFTER_S)
+    proxy.copies = Copies(DELIVERED, None)
+    for i in range(PAIRS):
+        for name in (f"a{i}", f"b{i}"):
+            assert town.hand_in(name, "order") == 202
+            assert until(lambda name=name: town.sent(name))
+            time.sleep(3 * ANSWER_AFTER_S)
+    assert until(lambda: all(len(town.sent(f"b{i}")) == 2 for i in range(PAIRS)), 9)
+    assert proxy.copied >= PAIRS and not town.notices
+    assert any(event["event"] == "answer came twice" for event in town.events())
+
+
 # Guards against a notice being lost because a copy of the answer to the one before said that it was taken.
 def test_a_late_copy_of_the_platforms_answer_does_not_lose_the_next_notice(town, platform_proxy):
     town.plan = lambda call: "drop"
