A connection rests for 250 ms behind a refusal before the next call uses it

Refusals have no body, so that a copy can't be told from an answer, and the rest of 50 ms ends before a copy that comes 100 ms behind.

The pool keeps with each connection when it has rested: 50 ms behind a delivery, 250 ms behind any other answer.

--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -8,10 +8,11 @@
 
 
 class Kept(NamedTuple):
-    """An idle connection, and since when it is one (nanoseconds of the pool's clock)."""
+    """An idle connection, since when it is one, and when it has rested; nanoseconds of the pool's clock."""
 
     link: Link
     since: int
+    rested_at: int
 
 
 class Pool:
@@ -49,7 +50,7 @@
         A dead one would lose the call. On one used at once a second copy of its last answer, which comes a
         little later, would be taken for the answer to the next call."""
         while (at := self.newest_rested(host)) is not None:
-            link, since = self.take(host, at)
+            link, since, _ = self.take(host, at)
             idle = self.clock() - since
             if idle >= min(self.keep_for, self.fresh_for()):
                 self.drop(link, ConnectionEnd.IDLE_FOR_LONG)
@@ -59,12 +60,13 @@
 
     def newest_rested(self, host):
         """Its place among those kept to the host, None where there is none."""
-        used_before = self.clock() - REST_NS
-        rested = [at for at, kept in enumerate(self.kept.get(host, ())) if kept.since <= used_before]
+        now = self.clock()
+        rested = [at for at, kept in enumerate(self.kept.get(host, ())) if kept.rested_at <= now]
         return rested[-1] if rested else None
 
-    def keep(self, host, link):
-        self.kept.setdefault(host, []).append(Kept(link, self.clock()))
+    def keep(self, host, link, rest=REST_NS):
+        now = self.clock()
+        self.kept.setdefault(host, []).append(Kept(link, now, now + rest))
 
     def drop(self, link, cause, waiting=b""):
         self.leave()
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -8,10 +8,11 @@
 from courseroute.model.causes import ConnectionEnd, HoldCause
 from courseroute.wire import words
 from courseroute.wire.http import Refused
-from courseroute.wire.link import LOST, Exchange, Link
+from courseroute.wire.link import LOST, REST_BEHIND_REFUSAL_NS, REST_NS, Exchange, Link
 
 # Errors of a connection that was up once.
 BROKE = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)
+DELIVERED = 200
 BYTES_LOGGED = 40  # of those that came behind an answer
 UNREMARKABLE = ("delivered", "full")  # endings of first attempts that are counted, but not logged
 
@@ -251,7 +252,8 @@
             await self.link.hear_all()
         self.hosts.learn_answers(self.host, call)
         if call.reusable() and not self.copies:
-            self.hosts.pool.keep(self.host, self.link)
+            rest = REST_NS if call.status == DELIVERED else REST_BEHIND_REFUSAL_NS
+            self.hosts.pool.keep(self.host, self.link, rest)
             self.link = None
 
     def close(self):
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -16,6 +16,7 @@
 LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)  # a connection that broke
 STANDS_STILL_S = 0.5  # an answer that began and of which nothing more comes is spoilt
 REST_NS = 50_000_000  # behind an answer, before the next call: what comes in it belongs to no call
+REST_BEHIND_REFUSAL_NS = 250_000_000  # a copy of one would have the next message sent twice
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,6 +10,7 @@
 ANSWER_AFTER_S = 0.08
 TAKEN = b"HTTP/1.1 204"
 DELIVERED = b"HTTP/1.1 200"
+NOT_SENT = b"HTTP/1.1 504"
 
 
 @pytest.fixture
@@ -89,6 +90,23 @@
     assert any(event["event"] == "answer came twice" for event in town.events())
 
 
+# Guards against a message being sent twice because a second copy of the answer before said "never ran".
+@pytest.mark.parametrize("after_s", [0.02, 0.1])
+def test_a_late_copy_of_a_refusal_does_not_send_the_next_message_again(town, proxy, after_s):
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        is_refused = call["id"].startswith("a") and len(town.sent(call["id"])) == 1
+        return (504, {}) if is_refused else (200, {})
+
+    town.plan, proxy.copies = plan, Copies(NOT_SENT, after_s)
+    town.start()
+    hand_in_pairs(town, "once")
+    assert until(lambda: all(len(town.sent(f"a{i}")) == 2 for i in range(PAIRS)), 9)
+    time.sleep(2 * ANSWER_AFTER_S)
+    assert [len(town.sent(f"b{i}")) for i in range(PAIRS)] == [1] * PAIRS
+    assert proxy.copied >= PAIRS and not town.notices
+
+
 # Guards against a notice being lost because a copy of the answer to the one before said that it was taken.
 def test_a_late_copy_of_the_platforms_answer_does_not_lose_the_next_notice(town, platform_proxy):
     town.plan = lambda call: "drop"
