--- a/courseroute/town/hosts.py
+++ b/courseroute/town/hosts.py
@@ -3,6 +3,7 @@
 Called by `quarter`, once a worker. What a host does with a call `partner.Partner` decides; here it is carried
 out, and the ledger told. A host that refuses connections closes its listeners, a silent one reads nothing.
 """
+import contextlib
 import errno
 import socket
 import struct
@@ -74,6 +75,7 @@
         return found
 
     async def serve(self, nursery):
+        self.nursery = nursery
         for partner, door in self.doors:
             nursery.start_soon(self.accept, nursery, partner, door)
 
@@ -166,9 +168,19 @@
         self.tell("reply", self.clock(), c=c, status=verdict.status, wait=verdict.wait, relay=relay,
                   dst=partner.place.number, name=host.name_now, cause=verdict.cause)
         host.socks[sock] = None
-        await stream.send_all(machine.answer(verdict.status, headers))
+        answer = machine.answer(verdict.status, headers, c.encode() if verdict.status == 200 else b"")
+        await stream.send_all(answer)
+        if copied := partner.hit(host, "answer-copied"):
+            self.nursery.start_soon(self.copy_answer, sock, answer, c, span(copied.fault.by))
         return not machine.over
 
+    async def copy_answer(self, sock, answer, c, after):
+        """Writes an answer once more, `after` nanoseconds later, whatever waits on the connection by then."""
+        await trio.sleep(after / 1e9)
+        with contextlib.suppress(*LOST):
+            await sock.send(answer)
+            self.tell("copied", self.clock(), c=c)
+
     async def spoil(self, sock, stream, verdict, c):
         if verdict.how == "spoilt":
             noise = SPOILT[self.calls % len(SPOILT)]
--- a/courseroute/town/script.py
+++ b/courseroute/town/script.py
@@ -14,18 +14,19 @@
 
 S = 1_000_000_000
 AT_HOSTS = {"refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow",
-            "errors", "shut", "drain", "leave", "replace", "pause-reports", "limit"}
+            "errors", "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied"}
 AT_RELAYS = {"kill", "restart", "pause", "disk-full", "wipe", "reload"}
 AT_PLATFORM = {"directory-down", "directory-late", "directory-crowded", "watches-silent", "notices-down"}
 IN_TRAFFIC = {"burst", "hot", "hot-client"}
 KINDS = AT_HOSTS | AT_RELAYS | AT_PLATFORM | IN_TRAFFIC
+LATEST_COPY = 20_000_000     # nanoseconds behind an answer, where a fault is drawn
 OUTAGES = {"refuse", "silent", "hang", "reset-before", "shut"}      # after these a destination is cold
 MOMENTS = {"kill", "restart", "wipe", "reload", "replace", "leave", "watches-silent"}   # these have no length
 Kind = Literal[
     "refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow", "errors",
-    "shut", "drain", "leave", "replace", "pause-reports", "limit", "kill", "restart", "pause", "disk-full",
-    "wipe", "reload", "directory-down", "directory-late", "directory-crowded", "watches-silent",
-    "notices-down", "burst", "hot", "hot-client"]
+    "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied", "kill", "restart",
+    "pause", "disk-full", "wipe", "reload", "directory-down", "directory-late", "directory-crowded",
+    "watches-silent", "notices-down", "burst", "hot", "hot-client"]
 
 
 class Relays(Form, kw_only=True):
@@ -82,7 +83,8 @@
     factor: Positive = 1.0      # slow, burst: so many times; limit: the true limit becomes that share
     told: Positive | None = None        # limit: reports tell that share of the true limit
     ran: bool | None = None     # reset-after, errors: whether the message has run; else drawn
-    by: Span = "1s"             # directory-late: each answer; directory-crowded: what a call anew takes
+    by: Span = "1s"             # directory-late: each answer; directory-crowded: what a call anew takes;
+    # answer-copied: how long behind an answer it is written again
 
     def faults(self):
         if self.kind not in MOMENTS and self.lasts is None:
@@ -231,13 +233,18 @@
             kind = str(rng.choice(drawn.kinds))
             names = names_for(day, kind)
             fault = Fault(kind=kind, at=f"{at}ns", where=str(rng.choice(names)) if names else "*",
-                          lasts=f"{int(span(drawn.lasts) * rng.uniform(0.5, 1.5))}ns",
+                          lasts=f"{int(span(drawn.lasts) * rng.uniform(0.5, 1.5))}ns", by=drawn_by(kind, rng),
                           factor={"slow": 5.0, "burst": 3.0, "limit": 0.5}.get(kind, 1.0))
             found.append(strike(day, fault))
             at += int(span(drawn.every) * rng.uniform(0.5, 1.5))
     return sorted(found, key=lambda one: (one.begin, one.kind, one.names))
 
 
+def drawn_by(kind, rng):
+    """The `by` of a drawn fault."""
+    return f"{int(rng.uniform(0, LATEST_COPY))}ns" if kind == "answer-copied" else "1s"
+
+
 def names_for(day, kind):
     if kind in AT_RELAYS:
         return [f"n{i}" for i in range(day.relays.count)]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Short seeded soaks: what may have run, among failing folders and system calls; lists that go stale."""
+"""Short seeded soaks: what may have run, among failing folders and system calls; stale lists; copies."""
 
 from pathlib import Path
 
@@ -30,3 +30,11 @@
     found = figures(trio.run(play, day, tmp_path / "day"))
     assert found["void"] or not found["broken"], found["broken"]
     assert found["all"]["delivered"] > 0.4 * found["all"]["messages"]
+
+
+# Guards against a copy of an answer counting as the answer to the next call, where faults of all kinds meet.
+def test_every_rule_is_kept_while_answers_come_twice(tmp_path):
+    day = load(ROOT / "examples" / "copied-answers.toml", seed=1, lasts="8s")
+    found = figures(trio.run(play, day, tmp_path / "day"))
+    assert found["void"] or not found["broken"], found["broken"]
+    assert found["all"]["delivered"] > 0.4 * found["all"]["messages"]
