--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 DAY = repeats
 RELAY_OF_repeats = env PYTHONPATH=tests/shims:. SYSTEM_CALL_FAULTS='%s 0.01' $(LAB) -m courseroute
 RELAY_OF_stale-lists = $(LAB) -m courseroute
+RELAY_OF_copied-answers = $(LAB) -m courseroute
+RELAY_OF_restarts-in-use = $(LAB) -m courseroute
 soak: .venv-lab/.installed
 	for seed in $$(seq 1 $(SEEDS)); do $(LAB) -m courseroute town run examples/$(DAY).toml --seed $$seed \
 		--relay "$$(printf "$(RELAY_OF_$(DAY))" $$seed)" || exit; done
--- a/courseroute/town/clients.py
+++ b/courseroute/town/clients.py
@@ -3,6 +3,7 @@
 Called by `quarter`. Open loop: each arrival is a task of its own, started when it is due, whatever became of
 the others. A client waits so long for its answer, then hands in again under a new id.
 """
+import enum
 import math
 
 import trio
@@ -19,14 +20,23 @@
 REPORTED_LATE = 100 * MS
 
 
+class Reach(enum.StrEnum):
+    """How clients reach a relay."""
+    ANY = "any connection"
+    OPEN = "open connections"       # it is told to end: those that stay open are used, no new ones are made
+    NONE = "none"
+
+
 class Front:
     """Which relay gets a message: any of those it believes to live."""
 
     def __init__(self, count):
-        self.up = [True] * count
+        self.reach = [Reach.ANY] * count
 
-    def pick(self, drawn, tries):
-        living = [i for i, up in enumerate(self.up) if up] or list(range(len(self.up)))
+    def pick(self, drawn, tries, idle):
+        """`idle`: for each relay its open connections that no message uses."""
+        living = [i for i, reach in enumerate(self.reach)
+                  if reach == Reach.ANY or reach == Reach.OPEN and idle[i]] or list(range(len(self.reach)))
         return living[(int(drawn * len(living)) + tries) % len(living)]
 
 
@@ -68,7 +78,7 @@
             if left < 2 * LEAST_PAUSE:
                 return
             tries = self.tries[arrival.n] = self.tries.get(arrival.n, 0) + 1
-            relay = self.front.pick(arrival.relay, tries - 1)
+            relay = self.front.pick(arrival.relay, tries - 1, self.idle)
             status, after = await self.hand_in(arrival, f"{arrival.n}-{tries}", relay, left, mark)
             if status is not None and status not in (429, 503):
                 return
--- a/courseroute/town/quarter.py
+++ b/courseroute/town/quarter.py
@@ -14,7 +14,7 @@
 import orjson
 import trio
 
-from courseroute.town.clients import Clients
+from courseroute.town.clients import Clients, Reach
 from courseroute.town.hosts import Hosts
 from courseroute.town.script import AT_HOSTS, Day, arrivals, destinations, strikes
 
@@ -48,7 +48,7 @@
             nursery.start_soon(self.clients.serve, nursery, start)
             async for told in lines:
                 if told["do"] == "relay":
-                    self.clients.front.up[told["relay"]] = told["up"]
+                    self.clients.front.reach[told["relay"]] = Reach(told["reach"])
                 elif told["do"] == "again":
                     self.clients.again(told["n"], told["after"], told["mark"])
                 elif told["do"] == "end":
--- a/courseroute/town/relays.py
+++ b/courseroute/town/relays.py
@@ -16,9 +16,14 @@
 
 from courseroute.checked import span
 from courseroute.run.setup import Fleet, Limits, Setup
+from courseroute.town.clients import Reach
 
 READY = b"GET /ready HTTP/1.1\r\nHost: town\r\nConnection: close\r\n\r\n"
+HALF_REQUEST = b"POST /notice HTTP/1.1\r\nHost: town\r\nX-Request-Id: "
 STOP_WITHIN, BACK_AFTER, LOOK = 3.7, 0.6, 0.25      # seconds
+BETWEEN_SIGNALS, BETWEEN_CONNECTIONS = 0.4, 1.0     # seconds
+SIGNALS_BEHIND_TERM = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+CHUNK = 65536
 
 
 class Relay:
@@ -41,7 +46,7 @@
 
 class Relays:
     def __init__(self, day, folder, places, command, clock, tell, front):
-        """`front`: told (relay, whether it lives) when the front has noticed."""
+        """`front`: told (relay, its Reach) when the front has noticed."""
         self.day, self.clock, self.tell, self.front = day, clock, tell, front
         self.relays = [Relay(i, folder, place, command) for i, place in enumerate(places)]
         self.tasks = None
@@ -75,7 +80,7 @@
                 if await self.asks_ready(relay):
                     relay.served = True
                     self.tell("relay", self.clock(), relay=relay.name, now="ready")
-                    self.front(relay.number, True)
+                    self.front(relay.number, Reach.ANY)
                     return True
                 await trio.sleep(0.03)
         return False
@@ -127,7 +132,7 @@
         life = relay.lives
         await trio.sleep(span(self.day.relays.noticed_after) / 1e9)
         if relay.lives == life:
-            self.front(relay.number, False)
+            self.front(relay.number, Reach.NONE)
 
     async def again(self, relay):
         await trio.to_thread.run_sync(relay.process.wait)
@@ -153,19 +158,29 @@
         self.tasks.start_soon(self.noticed, relay)
         await self.again(relay)
 
-    async def restart(self, relay):
-        """Planned: told to stop, killed where it does not in time."""
+    async def restart(self, relay, in_use=False):
+        """Planned: told to stop, killed where it does not in time. `in_use`: clients send on connections that
+        stay open to its end, and signals come in series."""
         if not relay.wanted:
             return
-        await self.stop(relay)
+        if in_use:
+            self.tasks.start_soon(self.signal_again, relay, relay.process)
+        await self.stop(relay, Reach.OPEN if in_use else Reach.NONE)
+        self.front(relay.number, Reach.NONE)
         await self.again(relay)
 
-    async def stop(self, relay):
+    async def signal_again(self, relay, process):
+        for number in SIGNALS_BEHIND_TERM:
+            await trio.sleep(BETWEEN_SIGNALS)
+            if process.poll() is None and relay.process is process:
+                process.send_signal(number)
+
+    async def stop(self, relay, reach):
         relay.wanted = False
         self.tell("relay", self.clock(), relay=relay.name, now="term")
         relay.process.send_signal(signal.SIGTERM)
         await trio.sleep(0.3)
-        self.front(relay.number, False)     # a planned restart is known to the front soon
+        self.front(relay.number, reach)     # a planned restart is known to the front soon
         left = STOP_WITHIN - 0.3
         while relay.process.poll() is None and left > 0:
             looked = trio.current_time()
@@ -191,6 +206,21 @@
         relay.paused = False
         self.tell("relay", self.clock(), relay=relay.name, now="goes-on")
 
+    async def crowd(self, relay, ns):
+        """Clients that open connections, say nothing or half a request, and open them anew when closed."""
+        with trio.move_on_after(ns / 1e9):
+            async with trio.open_nursery() as nursery:
+                for number in range(self.day.relays.descriptors // 2):
+                    nursery.start_soon(self.loiter, relay, HALF_REQUEST if number % 2 else b"")
+
+    async def loiter(self, relay, said):
+        while True:
+            with contextlib.suppress(OSError, trio.BrokenResourceError), trio.socket.socket() as sock:
+                await sock.connect(relay.place)
+                await trio.SocketStream(sock).send_all(said)
+                await sock.recv(CHUNK)
+            await trio.sleep(BETWEEN_CONNECTIONS)
+
     async def fill_disk(self, relay, ns):
         """None of its files can grow by a byte, old ones and new ones: every write fails."""
         if not relay.wanted:
--- a/courseroute/town/script.py
+++ b/courseroute/town/script.py
@@ -15,16 +15,18 @@
 S = 1_000_000_000
 AT_HOSTS = {"refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow",
             "errors", "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied"}
-AT_RELAYS = {"kill", "restart", "pause", "disk-full", "wipe", "reload"}
+AT_RELAYS = {"kill", "restart", "restart-in-use", "pause", "disk-full", "wipe", "reload", "crowd"}
 AT_PLATFORM = {"directory-down", "directory-late", "directory-crowded", "watches-silent", "notices-down"}
 IN_TRAFFIC = {"burst", "hot", "hot-client"}
 KINDS = AT_HOSTS | AT_RELAYS | AT_PLATFORM | IN_TRAFFIC
 LATEST_COPY = 20_000_000     # nanoseconds behind an answer, where a fault is drawn
 OUTAGES = {"refuse", "silent", "hang", "reset-before", "shut"}      # after these a destination is cold
-MOMENTS = {"kill", "restart", "wipe", "reload", "replace", "leave", "watches-silent"}   # these have no length
+# These have no length.
+MOMENTS = {"kill", "restart", "restart-in-use", "wipe", "reload", "replace", "leave", "watches-silent"}
 Kind = Literal[
     "refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow", "errors",
     "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied", "kill", "restart",
+    "restart-in-use", "crowd",
     "pause", "disk-full", "wipe", "reload", "directory-down", "directory-late", "directory-crowded",
     "watches-silent", "notices-down", "burst", "hot", "hot-client"]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,9 +32,11 @@
     assert found["all"]["delivered"] > 0.4 * found["all"]["messages"]
 
 
-# Guards against a copy of an answer counting as the answer to the next call, where faults of all kinds meet.
-def test_every_rule_is_kept_while_answers_come_twice(tmp_path):
-    day = load(ROOT / "examples" / "copied-answers.toml", seed=1, lasts="8s")
+# Guards against a copy of an answer counting as the answer to the next call, where faults of all kinds meet;
+# in the second day clients use open connections to a relay's end, signals come in series, crowds fill it.
+@pytest.mark.parametrize("name", ["copied-answers", "restarts-in-use"])
+def test_every_rule_is_kept_while_answers_come_twice(tmp_path, name):
+    day = load(ROOT / "examples" / f"{name}.toml", seed=1, lasts="8s")
     found = figures(trio.run(play, day, tmp_path / "day"))
     assert found["void"] or not found["broken"], found["broken"]
     assert found["all"]["delivered"] > 0.4 * found["all"]["messages"]
