--- a/courseroute/town/play.py
+++ b/courseroute/town/play.py
@@ -21,6 +21,7 @@
 import trio
 
 from courseroute.checked import span
+from courseroute.town.clients import REPORTED_LATE
 from courseroute.town.judge import MS, Judge, S
 from courseroute.town.platform import Directory, Platform, entries_of, entry_of
 from courseroute.town.quarter import read, say
@@ -28,6 +29,7 @@
 from courseroute.town.script import AT_PLATFORM, AT_RELAYS, destinations, strikes
 
 SORTED_WITHIN = 400 * MS        # rows of all workers come within so long and are judged in order of time
+BETWEEN_LOOKS = 0.1             # seconds
 LEAD = 200 * MS                 # between the word to start and the first arrival
 LEFT_AFTER = 2.0                # seconds between leaving and left
 
@@ -146,7 +148,7 @@
         last = self.start + span(self.day.lasts)
         most = last + max(span(lane.deadline) for lane in self.day.lanes.values()) + 3 * S
         while True:
-            await trio.sleep(0.1)
+            await self.look_again()
             now = self.clock()
             self.judge_until(now - SORTED_WITHIN)
             if watch:
@@ -154,6 +156,14 @@
             if now > most or now > last + S and not self.judge.open() and not self.away():
                 return
 
+    async def look_again(self):
+        """Waits for the next look at the day; a process that was held up meanwhile blames itself, as what
+        relays told the platform was heard late."""
+        due = self.clock() + int(BETWEEN_LOOKS * S)
+        await trio.sleep(BETWEEN_LOOKS)
+        if (by := self.clock() - due) > REPORTED_LATE:
+            self.tell("late", self.clock(), by=by)
+
     def away(self):
         return any(relay.process is None or not relay.wanted for relay in self.relays.relays)
 
@@ -181,8 +191,8 @@
 
     # What passes between the parts.
 
-    def front(self, relay, up):
-        self.to_workers({"do": "relay", "relay": relay, "up": up})
+    def front(self, relay, reach):
+        self.to_workers({"do": "relay", "relay": relay, "reach": reach})
 
     def to_workers(self, told):
         for queue in self.queues:
@@ -229,6 +239,8 @@
             self.relays.reread(relay)
         else:
             await {"kill": lambda: self.relays.kill(relay), "restart": lambda: self.relays.restart(relay),
+                   "restart-in-use": lambda: self.relays.restart(relay, in_use=True),
+                   "crowd": lambda: self.relays.crowd(relay, lasts),
                    "pause": lambda: self.relays.pause(relay, lasts),
                    "disk-full": lambda: self.relays.fill_disk(relay, lasts)}[strike.kind]()
 
