--- a/courseroute/journal/lock.py
+++ b/courseroute/journal/lock.py
@@ -1,4 +1,5 @@
 """One relay a folder: the lock that tells whether one runs. Called by `run.relay` and the tools."""
+
 import fcntl
 import os
 import time
--- a/courseroute/town/clients.py
+++ b/courseroute/town/clients.py
@@ -3,6 +3,7 @@
 Called by `quarter`. Open loop: each arrival is a task of its own, started when it is due, whatever became of
 the others. A client waits so long for its answer, then hands in again under a new id.
 """
+
 import enum
 import math
 
@@ -16,14 +17,15 @@
 MS = 1_000_000
 S = 1000 * MS
 HEAD, BODY = 16 << 10, 64 << 10
-LEAST_PAUSE = 100 * MS      # before a message is handed in again
+LEAST_PAUSE = 100 * MS  # before a message is handed in again
 REPORTED_LATE = 100 * MS
 
 
 class Reach(enum.StrEnum):
     """How clients reach a relay."""
+
     ANY = "any connection"
-    OPEN = "open connections"       # it is told to end: those that stay open are used, no new ones are made
+    OPEN = "open connections"  # it is told to end: those that stay open are used, no new ones are made
     NONE = "none"
 
 
@@ -35,8 +37,9 @@
 
     def pick(self, drawn, tries, idle):
         """`idle`: for each relay its open connections that no message uses."""
-        living = [i for i, reach in enumerate(self.reach)
-                  if reach == Reach.ANY or reach == Reach.OPEN and idle[i]] or list(range(len(self.reach)))
+        living = [
+            i for i, reach in enumerate(self.reach) if reach == Reach.ANY or reach == Reach.OPEN and idle[i]
+        ] or list(range(len(self.reach)))
         return living[(int(drawn * len(living)) + tries) % len(living)]
 
 
@@ -45,7 +48,7 @@
         self.day, self.arrivals, self.relays = day, arrivals, [tuple(place) for place in relays]
         self.clock, self.tell, self.front = clock, tell, Front(len(relays))
         self.answer_within = span(day.traffic.answer_within)
-        self.idle = [[] for _ in relays]        # kept links to each relay
+        self.idle = [[] for _ in relays]  # kept links to each relay
         self.room = [trio.CapacityLimiter(day.traffic.connections) for _ in relays]
         self.tries, self.late, self.start = {}, 0, 0
         self.by_n = {arrival.n: arrival for arrival in arrivals}
@@ -89,16 +92,32 @@
         """(the answer's status, nanoseconds to stay away); None where no answer came."""
         key = f"k{self.day.seed}-{arrival.n}"
         target = f"/{arrival.lane}" + (f"?subject={arrival.key}" if arrival.key else "")
-        headers = [("Host", "origin.svc"), ("X-Request-Id", name), ("X-Class", arrival.lane),
-                   ("X-Tenant", arrival.customer), ("X-Deadline", f"{left // MS}m"),
-                   ("Idempotency-Key", key), ("Envelope", f"dest={arrival.dst}")]
+        headers = [
+            ("Host", "origin.svc"),
+            ("X-Request-Id", name),
+            ("X-Class", arrival.lane),
+            ("X-Tenant", arrival.customer),
+            ("X-Deadline", f"{left // MS}m"),
+            ("Idempotency-Key", key),
+            ("Envelope", f"dest={arrival.dst}"),
+        ]
         if mark:
             headers.append(("X-Retry", mark))
-        body, row = body_of(key, arrival.body), {
-            "id": name, "n": arrival.n, "relay": f"n{relay}", "lane": arrival.lane, "mark": key,
-            "key": arrival.key, "dst": arrival.dst, "until": self.clock() + left}
+        body, row = (
+            body_of(key, arrival.body),
+            {
+                "id": name,
+                "n": arrival.n,
+                "relay": f"n{relay}",
+                "lane": arrival.lane,
+                "mark": key,
+                "key": arrival.key,
+                "dst": arrival.dst,
+                "until": self.clock() + left,
+            },
+        )
         async with self.room[relay]:
-            for _ in range(2):      # a kept connection may be closed just as the request crosses
+            for _ in range(2):  # a kept connection may be closed just as the request crosses
                 link = self.idle[relay].pop() if self.idle[relay] else None
                 kept, why = link is not None, "no answer"
                 try:
@@ -118,8 +137,14 @@
                         continue
                 link.close()
                 break
-        self.tell("dropped", self.clock(), id=name, relay=f"n{relay}", why=why, **(
-            {} if why != "unreachable" else {"n": arrival.n}))
+        self.tell(
+            "dropped",
+            self.clock(),
+            id=name,
+            relay=f"n{relay}",
+            why=why,
+            **({} if why != "unreachable" else {"n": arrival.n}),
+        )
         return None, 0
 
     def answered(self, link, name, relay):
--- a/courseroute/town/play.py
+++ b/courseroute/town/play.py
@@ -2,6 +2,7 @@
 
 Called by the command line, the tests and the laboratory: `await play(day, folder, command, watch)`.
 """
+
 import contextlib
 import heapq
 import itertools
@@ -28,17 +29,17 @@
 from courseroute.town.relays import Relays, default_command
 from courseroute.town.script import AT_PLATFORM, AT_RELAYS, destinations, strikes
 
-SORTED_WITHIN = 400 * MS        # rows of all workers come within so long and are judged in order of time
-BETWEEN_LOOKS = 0.1             # seconds
-LEAD = 200 * MS                 # between the word to start and the first arrival
-LEFT_AFTER = 2.0                # seconds between leaving and left
+SORTED_WITHIN = 400 * MS  # rows of all workers come within so long and are judged in order of time
+BETWEEN_LOOKS = 0.1  # seconds
+LEAD = 200 * MS  # between the word to start and the first arrival
+LEFT_AFTER = 2.0  # seconds between leaving and left
 
 
 class Result(NamedTuple):
     day: object
     judge: Judge
     relays: list
-    rows: list          # the whole ledger, in order of time
+    rows: list  # the whole ledger, in order of time
     start: int
     took: float
 
@@ -51,8 +52,8 @@
         self.places = destinations(day)
         self.judge.apart_dst = {place.number for place in self.places if day.kinds[place.form.kind].apart}
         self.workers, self.queues, self.start, self.cut_off = [], [], 0, False
-        self.ending = False         # the workers were told to end
-        self.downs = 0              # outages of the directory under way
+        self.ending = False  # the workers were told to end
+        self.downs = 0  # outages of the directory under way
 
     # The ledger.
 
@@ -81,8 +82,9 @@
                 hosts = await self.start_workers(nursery, relay_places)
                 self.directory = Directory(entries_of(self.places))
                 self.platform = Platform(self.directory, hosts, self.clock, self.tell, self.ended)
-                self.relays = Relays(self.day, self.folder, relay_places, self.command, self.clock, self.tell,
-                                     self.front)
+                self.relays = Relays(
+                    self.day, self.folder, relay_places, self.command, self.clock, self.tell, self.front
+                )
                 self.relays.tasks = nursery
                 await self.start_relays(nursery)
                 nursery.start_soon(self.relays.watch)
@@ -115,11 +117,21 @@
         self.worker_lines = []
         for number in range(count):
             process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "courseroute.town.quarter"], stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE, env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})
+                [sys.executable, "-m", "courseroute.town.quarter"],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            )
             self.workers.append(process)
-            await say(process.stdin, {"day": msgspec.to_builtins(self.day), "number": number, "count": count,
-                                      "relays": relay_places})
+            await say(
+                process.stdin,
+                {
+                    "day": msgspec.to_builtins(self.day),
+                    "number": number,
+                    "count": count,
+                    "relays": relay_places,
+                },
+            )
         for process in self.workers:
             lines = read(process.stdout)
             self.worker_lines.append(lines)
@@ -215,8 +227,14 @@
 
     async def strike(self, nursery, strike):
         await trio.sleep(max(0, self.start + strike.begin - self.clock()) / 1e9)
-        self.tell("fault", self.clock(), kind=strike.kind, names=list(strike.names), begins=True,
-                  until=self.start + strike.end)
+        self.tell(
+            "fault",
+            self.clock(),
+            kind=strike.kind,
+            names=list(strike.names),
+            begins=True,
+            until=self.start + strike.end,
+        )
         if strike.kind in AT_RELAYS:
             for relay in self.relays.relays:
                 if relay.name in strike.names:
@@ -231,18 +249,24 @@
         if strike.kind == "wipe":
             nursery.start_soon(self.relays.kill, relay, True)
             await trio.sleep(max(span(self.day.relays.noticed_after), 2 * SORTED_WITHIN) / 1e9)
-            for msg in [msg for msg in self.judge.messages.values() if msg.relay == relay.name
-                        and msg.excused and msg.taken and msg.over_at is None]:
+            for msg in [
+                msg
+                for msg in self.judge.messages.values()
+                if msg.relay == relay.name and msg.excused and msg.taken and msg.over_at is None
+            ]:
                 self.to_workers({"do": "again", "n": msg.n, "after": 0, "mark": "again"})
         elif strike.kind == "reload":
             self.relays.configure(relay, await self.platform.move(relay.number, nursery))
             self.relays.reread(relay)
         else:
-            await {"kill": lambda: self.relays.kill(relay), "restart": lambda: self.relays.restart(relay),
-                   "restart-in-use": lambda: self.relays.restart(relay, in_use=True),
-                   "crowd": lambda: self.relays.crowd(relay, lasts),
-                   "pause": lambda: self.relays.pause(relay, lasts),
-                   "disk-full": lambda: self.relays.fill_disk(relay, lasts)}[strike.kind]()
+            await {
+                "kill": lambda: self.relays.kill(relay),
+                "restart": lambda: self.relays.restart(relay),
+                "restart-in-use": lambda: self.relays.restart(relay, in_use=True),
+                "crowd": lambda: self.relays.crowd(relay, lasts),
+                "pause": lambda: self.relays.pause(relay, lasts),
+                "disk-full": lambda: self.relays.fill_disk(relay, lasts),
+            }[strike.kind]()
 
     async def at_platform(self, strike):
         platform, lasts = self.platform, (strike.end - strike.begin) / 1e9
@@ -259,7 +283,7 @@
                 self.tell("platform", self.clock(), now="directory-down")
             await trio.sleep(lasts)
             self.downs -= 1
-            if not self.downs:      # another one may have begun meanwhile
+            if not self.downs:  # another one may have begun meanwhile
                 platform.set_down(False)
                 self.tell("platform", self.clock(), now="directory-up")
         elif strike.kind == "directory-late":
@@ -304,7 +328,7 @@
     """An address nobody listens on: each relay has one of its own, the port is drawn."""
     draw = random.SystemRandom()
     while True:
-        place = f"127.18.{number}.1", draw.randrange(20000, 32000)      # below the ports that calls out use
+        place = f"127.18.{number}.1", draw.randrange(20000, 32000)  # below the ports that calls out use
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(place)
             return list(place)
--- a/courseroute/town/quarter.py
+++ b/courseroute/town/quarter.py
@@ -6,6 +6,7 @@
 workers and the relays' addresses, and tells its hosts' addresses; then the start; later which relays live and
 which messages are handed in again. It tells the ledger's rows, a list a line.
 """
+
 import os
 import sys
 import time
--- a/courseroute/town/relays.py
+++ b/courseroute/town/relays.py
@@ -2,6 +2,7 @@
 
 Called by `play`. A relay is any command that reads ROUTER_CONFIG (a TOML file of docs/configuration.md).
 """
+
 import contextlib
 import os
 import resource
@@ -20,8 +21,8 @@
 
 READY = b"GET /ready HTTP/1.1\r\nHost: town\r\nConnection: close\r\n\r\n"
 HALF_REQUEST = b"POST /notice HTTP/1.1\r\nHost: town\r\nX-Request-Id: "
-STOP_WITHIN, BACK_AFTER, LOOK = 3.7, 0.6, 0.25      # seconds
-BETWEEN_SIGNALS, BETWEEN_CONNECTIONS = 0.4, 1.0     # seconds
+STOP_WITHIN, BACK_AFTER, LOOK = 3.7, 0.6, 0.25  # seconds
+BETWEEN_SIGNALS, BETWEEN_CONNECTIONS = 0.4, 1.0  # seconds
 SIGNALS_BEHIND_TERM = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
 CHUNK = 65536
 
@@ -32,11 +33,11 @@
         self.folder, self.state = folder / f"n{number}", folder / f"n{number}" / "state"
         self.state.mkdir(parents=True)
         self.config, self.process, self.lives = self.folder / "relay.toml", None, 0
-        self.wanted = False         # it is meant to run: an end is a crash
-        self.paused = False         # stopped from outside for a while
-        self.served = False         # this life was ready once
+        self.wanted = False  # it is meant to run: an end is a crash
+        self.paused = False  # stopped from outside for a while
+        self.served = False  # this life was ready once
         self.most = {"memory_kb": 0, "descriptors": 0, "disk_kb": 0}
-        self.cpu = self.life_cpu = 0.0      # seconds, of the lives that ended and of this one
+        self.cpu = self.life_cpu = 0.0  # seconds, of the lives that ended and of this one
 
 
 def written(setup):
@@ -54,12 +55,20 @@
     def configure(self, relay, directory):
         form = self.day.relays
         setup = Setup(
-            name=relay.name, listen="{}:{}".format(*relay.place), directory="{}:{}".format(*directory),
-            state=str(relay.state), seed=f"{self.day.seed * 1000 + relay.number:x}",
+            name=relay.name,
+            listen="{}:{}".format(*relay.place),
+            directory="{}:{}".format(*directory),
+            state=str(relay.state),
+            seed=f"{self.day.seed * 1000 + relay.number:x}",
             limits=Limits(memory_mb=form.memory_mb, descriptors=form.descriptors, disk_mb=form.disk_mb),
-            log=self.day.log, fleet=Fleet(relays=form.count, number=relay.number, area="a"),
-            sending=self.day.sending, rules=self.day.rules, lanes=self.day.lanes, kinds=self.day.kinds,
-            customers=self.day.quotas)
+            log=self.day.log,
+            fleet=Fleet(relays=form.count, number=relay.number, area="a"),
+            sending=self.day.sending,
+            rules=self.day.rules,
+            lanes=self.day.lanes,
+            kinds=self.day.kinds,
+            customers=self.day.quotas,
+        )
         relay.config.write_bytes(written(setup))
 
     def start(self, relay):
@@ -68,8 +77,9 @@
         limit = self.day.relays.descriptors
         environ = os.environ | {"ROUTER_CONFIG": str(relay.config), "ROUTER_STATE": str(relay.state)}
         with open(relay.folder / "log", "ab") as log:
-            relay.process = subprocess.Popen(relay.command, env=environ, stdin=subprocess.DEVNULL, stdout=log,
-                                             stderr=log, cwd=os.getcwd())
+            relay.process = subprocess.Popen(
+                relay.command, env=environ, stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=os.getcwd()
+            )
         resource.prlimit(relay.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
         self.tell("relay", self.clock(), relay=relay.name, now="started")
 
@@ -180,20 +190,30 @@
         self.tell("relay", self.clock(), relay=relay.name, now="term")
         relay.process.send_signal(signal.SIGTERM)
         await trio.sleep(0.3)
-        self.front(relay.number, reach)     # a planned restart is known to the front soon
+        self.front(relay.number, reach)  # a planned restart is known to the front soon
         left = STOP_WITHIN - 0.3
         while relay.process.poll() is None and left > 0:
             looked = trio.current_time()
             await trio.sleep(0.02)
-            if not relay.paused:        # one that is stopped from outside can't heed the signal
+            if not relay.paused:  # one that is stopped from outside can't heed the signal
                 left -= trio.current_time() - looked
         if relay.process.poll() is None:
             relay.process.kill()
-            self.tell("relay", self.clock(), relay=relay.name, now="crashed",
-                      text="it had not ended 3.7 s after SIGTERM")
+            self.tell(
+                "relay",
+                self.clock(),
+                relay=relay.name,
+                now="crashed",
+                text="it had not ended 3.7 s after SIGTERM",
+            )
         elif relay.process.returncode not in ((0,) if relay.served else (0, -signal.SIGTERM)):
-            self.tell("relay", self.clock(), relay=relay.name, now="crashed",
-                      text=f"exit code {relay.process.returncode} after SIGTERM")
+            self.tell(
+                "relay",
+                self.clock(),
+                relay=relay.name,
+                now="crashed",
+                text=f"exit code {relay.process.returncode} after SIGTERM",
+            )
 
     async def pause(self, relay, ns):
         if not relay.wanted:
--- a/courseroute/town/report.py
+++ b/courseroute/town/report.py
@@ -1,4 +1,5 @@
 """The figures of a day that was played: plain maps for tables, JSON and comparisons. No socket, no clock."""
+
 import math
 from collections import Counter, defaultdict
 
@@ -60,25 +61,41 @@
 
     def row(counts, key, n_calls=None, n_refused=None):
         total = sum(counts.values())
-        return {"messages": total, **{word: counts[word] for word in (
-            "delivered", "pushed back", "returned", "failed", "unanswered", "open")},
+        return {
+            "messages": total,
+            **{
+                word: counts[word]
+                for word in ("delivered", "pushed back", "returned", "failed", "unanswered", "open")
+            },
             "calls_per_message": None if n_calls is None else round(n_calls / max(1, total), 3),
-            "refused": n_refused, **quantiles(waits[key])}
+            "refused": n_refused,
+            **quantiles(waits[key]),
+        }
+
     whole = Counter()
     for counts in words.values():
         whole.update(counts)
     broken = Counter(one.rule for one in judge.broken)
     return {
-        "about": day.about, "seed": day.seed, "relays": day.relays.count, "took_s": round(result.took, 1),
-        "void": judge.void, "late_ms": judge.late // MS, "service": round(value / most, 4) if most else None,
+        "about": day.about,
+        "seed": day.seed,
+        "relays": day.relays.count,
+        "took_s": round(result.took, 1),
+        "void": judge.void,
+        "late_ms": judge.late // MS,
+        "service": round(value / most, 4) if most else None,
         "all": row(whole, None, sum(calls.values()), sum(refused.values())),
         "destinations": {names[dst]: row(words[dst], dst, calls[dst], refused[dst]) for dst in sorted(words)},
         "lanes": {name: row(lanes[name], name) for name in sorted(lanes)},
         "rules": {rule: broken[rule] for rule in RULES},
-        "broken": [{"rule": one.rule, "at_ms": (one.at - result.start) // MS, "text": one.text}
-                   for one in judge.broken],
-        "relays_used": {relay.name: relay.most | {"cpu_s": round(relay.cpu, 2), "lives": relay.lives}
-                        for relay in result.relays},
+        "broken": [
+            {"rule": one.rule, "at_ms": (one.at - result.start) // MS, "text": one.text}
+            for one in judge.broken
+        ],
+        "relays_used": {
+            relay.name: relay.most | {"cpu_s": round(relay.cpu, 2), "lives": relay.lives}
+            for relay in result.relays
+        },
         "counts": dict(sorted(judge.counts.items())),
     }
 
--- a/courseroute/wire/words.py
+++ b/courseroute/wire/words.py
@@ -1,4 +1,5 @@
 """The words of the protocol: what a head's fields say, as the interface has it, and back."""
+
 import math
 import re
 from urllib.parse import parse_qsl
@@ -41,9 +42,17 @@
         raise Refused(400, "Envelope names no destination")
     if len(key) > longest or ODD.search(key):
         raise Refused(400, "Idempotency-Key is odd")
-    return {"name": name, "dst": str(int(dst)), "lane": lane, "left": span_of(told.get("x-deadline", "")),
-            "mark": key, "customer": told.get("x-tenant", "")[:longest], "again": "x-retry" in told,
-            "key": dict(parse_qsl(query)).get("subject", "")[:longest], "body": request.body}
+    return {
+        "name": name,
+        "dst": str(int(dst)),
+        "lane": lane,
+        "left": span_of(told.get("x-deadline", "")),
+        "mark": key,
+        "customer": told.get("x-tenant", "")[:longest],
+        "again": "x-retry" in told,
+        "key": dict(parse_qsl(query)).get("subject", "")[:longest],
+        "body": request.body,
+    }
 
 
 def call_head(msg, left):
@@ -77,16 +86,23 @@
 
 def entry_of(told, listed_rates):
     rate = float(told.get("weight") or 0) if listed_rates else None
-    return (told["name"], STATES.get(told.get("status"), "draining"), told.get("zone", ""), rate,
-            told.get("type", ""), str(told.get("group", "")))
+    return (
+        told["name"],
+        STATES.get(told.get("status"), "draining"),
+        told.get("zone", ""),
+        rate,
+        told.get("type", ""),
+        str(told.get("group", "")),
+    )
 
 
 def roster_of(told, listed_rates):
     """(index, scope, entries, addresses) from discovery's list; raises ValueError where it can't be read."""
     try:
         entries = [entry_of(entry, listed_rates) for entry in told["endpoints"]]
-        where = {entry["name"]: place_of(entry["address"])
-                 for entry in told["endpoints"] if entry.get("address")}
+        where = {
+            entry["name"]: place_of(entry["address"]) for entry in told["endpoints"] if entry.get("address")
+        }
         return int(told["index"]), "full" if told.get("snapshot") else "changes", entries, where
     except (KeyError, TypeError, AttributeError) as cause:
         raise ValueError(f"a list without {cause}") from None
