A connection rests for 100 ms behind an answer, a Line for 50 ms

Calls to discovery have to follow each other within 200 ms to continue a watch, so a Line keeps 50 ms.

--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -15,8 +15,9 @@
 
 LOST = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)  # a connection that broke
 STANDS_STILL_S = 0.5  # an answer that began and of which nothing more comes is spoilt
-REST_NS = 50_000_000  # behind an answer, before the next call: what comes in it belongs to no call
+REST_NS = 100_000_000  # behind an answer, before the next call: what comes in it belongs to no call
 REST_BEHIND_REFUSAL_NS = 250_000_000  # a copy of one would have the next message sent twice
+LINE_REST_NS = 50_000_000  # the same for a Line, whose calls to discovery have to follow each other soon
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 
 
@@ -109,11 +110,11 @@
         raise Refused(408, "no answer in time")
 
     async def rest(self):
-        """Waits until REST_NS behind the last answer are over. Closes the connection where something came
+        """Waits until LINE_REST_NS behind the last answer are over. Closes the connection where something came
         since, or the place moved, while it stood idle."""
         if self.link is None:
             return
-        await trio.sleep(max(0, self.answered_at + REST_NS / 1e9 - trio.current_time()))
+        await trio.sleep(max(0, self.answered_at + LINE_REST_NS / 1e9 - trio.current_time()))
         if self.dialled != self.place or (self.link is not None and unread(self.link.socket) is not None):
             self.drop()
 
