--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -2,6 +2,7 @@
 
 Both end in the same checked `Setup`; what is wrong raises `Bad` with one line a mistake, never a trace.
 """
+
 import os
 import random
 
@@ -14,10 +15,14 @@
 from courseroute.run.setup import Setup, told_of
 from courseroute.wire.words import place_of
 
-TOLD_WITHIN = 6 * 10**9     # nanoseconds; what discovery has counts as told by then, whatever failed
-MOVED_TOLD_WITHIN = 4 * 10**9   # the same from a SIGHUP that moves it
-PLATFORM = {"listen": "ROUTER_LISTEN", "directory": "ROUTER_DISCOVERY", "state": "ROUTER_STATE",
-            "name": "ROUTER_NAME"}
+TOLD_WITHIN = 6 * 10**9  # nanoseconds; what discovery has counts as told by then, whatever failed
+MOVED_TOLD_WITHIN = 4 * 10**9  # the same from a SIGHUP that moves it
+PLATFORM = {
+    "listen": "ROUTER_LISTEN",
+    "directory": "ROUTER_DISCOVERY",
+    "state": "ROUTER_STATE",
+    "name": "ROUTER_NAME",
+}
 
 
 def read(environ=os.environ):
@@ -39,36 +44,50 @@
         raise Bad(path, [Mistake("", found, "a JSON file")]) from None
     if not isinstance(told, dict):
         raise Bad(path, [Mistake("", type(told).__name__, "a JSON object")])
-    named = {name: told.get("discovery" if name == "directory" else name) or environ.get(variable)
-             for name, variable in PLATFORM.items()}
+    named = {
+        name: told.get("discovery" if name == "directory" else name) or environ.get(variable)
+        for name, variable in PLATFORM.items()
+    }
     named["state"] = environ.get("ROUTER_STATE")
     limits = told.get("limits") or {}
     shape = {name: value for name, value in named.items() if value is not None}
     try:
         shape |= told_of(terms_of(paths_of(told.get("settings", {}))))
-        shape |= {"seed": str(told.get("seed", "0")), "limits": {
-            "memory_mb": int(limits["memory_mb"]), "descriptors": int(limits["sockets"]),
-            "disk_mb": float(limits["disk_mb"])}}
+        shape |= {
+            "seed": str(told.get("seed", "0")),
+            "limits": {
+                "memory_mb": int(limits["memory_mb"]),
+                "descriptors": int(limits["sockets"]),
+                "disk_mb": float(limits["disk_mb"]),
+            },
+        }
     except (ValueError, KeyError, TypeError, AttributeError) as cause:
         mistake = Mistake("settings or limits", repr(cause), "the settings and limits of the protocol page")
         raise Bad(path, [mistake]) from None
     told_figures = figures(made(shape, Setup, path, strict=False))
     for kind in told_figures["terms"]["kinds"].values():
-        kind["per_call"] = 1        # calls are single on the platform's sockets, whatever the settings say
+        kind["per_call"] = 1  # calls are single on the platform's sockets, whatever the settings say
     return told_figures | {"known": told.get("known"), "keeps_list": False}
 
 
 def figures(setup):
     """A Setup as the relay uses it: addresses as pairs, sizes in bytes, the module's terms."""
     terms = setup.terms()
-    terms["ask"] = True             # on sockets the list answers only when asked
+    terms["ask"] = True  # on sockets the list answers only when asked
     terms |= {"told_within": TOLD_WITHIN, "moved_told_within": MOVED_TOLD_WITHIN}
     return {
-        "name": setup.name, "listen": place_of(setup.listen), "discovery": place_of(setup.directory),
-        "state": setup.state, "known": None, "keeps_list": True, "terms": terms,
-        "log": msgspec.structs.asdict(setup.log), "sync": setup.journal.sync,
+        "name": setup.name,
+        "listen": place_of(setup.listen),
+        "discovery": place_of(setup.directory),
+        "state": setup.state,
+        "known": None,
+        "keeps_list": True,
+        "terms": terms,
+        "log": msgspec.structs.asdict(setup.log),
+        "sync": setup.journal.sync,
         "sync_every": span(setup.journal.every),
         "seed": int(setup.seed, 16) if setup.seed else random.SystemRandom().getrandbits(64),
-        "memory": setup.limits.memory_mb << 20, "sockets": setup.limits.descriptors,
+        "memory": setup.limits.memory_mb << 20,
+        "sockets": setup.limits.descriptors,
         "disk": int(setup.limits.disk_mb * 1_000_000),
     }
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -1,4 +1,5 @@
 """One relay from start to exit."""
+
 import enum
 import signal
 import time
@@ -27,16 +28,16 @@
 from courseroute.wire.notices import Notices
 from courseroute.wire.words import roster_of
 
-REPORT_EVERY_S = 10.0   # between two lines of figures in the log
-LAST_LIFE = 2.0         # seconds in which a process that was killed lets go of the folder
+REPORT_EVERY_S = 10.0  # between two lines of figures in the log
+LAST_LIFE = 2.0  # seconds in which a process that was killed lets go of the folder
 
 
 class Phase(enum.Enum):
-    STARTING = "starting"           # nothing is open yet
-    RECOVERING = "recovering"       # the log is read back, the module decides on what it holds
+    STARTING = "starting"  # nothing is open yet
+    RECOVERING = "recovering"  # the log is read back, the module decides on what it holds
     SERVING = "serving"
-    LEAVING = "leaving"             # told to stop: still serves, takes on what can still go out
-    CLOSING = "closing"             # no new calls; what is being answered is answered
+    LEAVING = "leaving"  # told to stop: still serves, takes on what can still go out
+    CLOSING = "closing"  # no new calls; what is being answered is answered
     ENDED = "ended"
 
 
@@ -61,7 +62,7 @@
         log = Journal(Disk(told["state"]), room, told["name"], syncs)
         self.roster = Roster(told["state"], kept_list) if kept_list else None
         most_calls = int(told["sockets"] * house["host_connections"])
-        terms["slots"] = min(terms.get("slots", most_calls), most_calls)    # each call needs a connection
+        terms["slots"] = min(terms.get("slots", most_calls), most_calls)  # each call needs a connection
         dispatcher = Dispatcher(told["seed"], terms)
         self.desk = desk = Desk(dispatcher, terms, house, log, told["memory"], self.clock, say)
         desk.learned = Learned(told["state"], say, learned, syncs)
@@ -79,14 +80,16 @@
             desk.notices = Notices(desk, house, told["discovery"], say)
             watch = Watch(terms["listed_rates"], None)
             desk.discovery = Discovery(
-                nursery, desk, desk.hosts, house, told["discovery"], watch, self.clock, say)
+                nursery, desk, desk.hosts, house, told["discovery"], watch, self.clock, say
+            )
             desk.alarm, desk.leave = self.set_alarm, self.left.set
             self.enter(Phase.RECOVERING, clock="kept" if clock.continues else "new")
             desk.tell("start")
             self.learn_known(watch)
             desk.recover(same_clock=clock.continues)
             most, refusing = (
-                int(told["sockets"] * house[name]) for name in ("client_connections", "refusing"))
+                int(told["sockets"] * house[name]) for name in ("client_connections", "refusing")
+            )
             half_read = int(told["memory"] * house["half_read"])
             self.clients = Clients(desk, house, listener, most, refusing, half_read, say)
             desk.see_off = self.clients.close_idle
@@ -111,11 +114,11 @@
         known = self.roster.read() if self.roster else self.told["known"]
         if self.roster:
             self.desk.discovery.keep = self.roster.keep
-            if known is None:       # a first start: the directory is asked for the whole list
+            if known is None:  # a first start: the directory is asked for the whole list
                 return
         try:
             index, _, entries, where = roster_of(known, self.told["terms"]["listed_rates"])
-        except ValueError as cause:     # a bad saved list must not keep the relay from its start
+        except ValueError as cause:  # a bad saved list must not keep the relay from its start
             say("saved list not read", error=str(cause)[:200])
             return
         watch.index = None if self.roster else index
@@ -161,8 +164,11 @@
             return
         set_log(**told["log"])
         place = told["discovery"]
-        later = sorted(name for name in told if name not in ("discovery", "known", "log", "seed")
-                       and told[name] != self.told[name])
+        later = sorted(
+            name
+            for name in told
+            if name not in ("discovery", "known", "log", "seed") and told[name] != self.told[name]
+        )
         say("configuration read", discovery=place, moved=place != self.told["discovery"], at_next_start=later)
         if place != self.told["discovery"]:
             self.told["discovery"] = self.desk.notices.line.place = place
@@ -207,7 +213,7 @@
     code = 0
     try:
         trio.run(Relay(told).run)
-    except* (Newer, Held) as group:     # refused in one plain line, nothing touched
+    except* (Newer, Held) as group:  # refused in one plain line, nothing touched
         say("folder not usable", error=str(group.exceptions[0])[:300])
         code = 2
     return code
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -3,6 +3,7 @@
 `Setup.terms()` is the plain map of the settings' trade names that the module is handed; what a file leaves
 out stays absent there. Read by `run.config`; the town (`courseroute.town`) writes such files for its relays.
 """
+
 import re
 from typing import Annotated, Literal
 
@@ -10,15 +11,17 @@
 
 from courseroute.checked import Count, Form, Place, Positive, Share, Span, span, span_text
 
-SPANS = re.compile(r"(target|deadline|window|connect_within|idle_close|stay_away|tick|drain_grace|ask_within|"
-                   r"cold|fall|turn_gap)")
-Seed = Annotated[str, msgspec.Meta(pattern="^[0-9a-fA-F]{0,32}$",
-                                   description="up to 32 hexadecimal digits")]
+SPANS = re.compile(
+    r"(target|deadline|window|connect_within|idle_close|stay_away|tick|drain_grace|ask_within|"
+    r"cold|fall|turn_gap)"
+)
+Seed = Annotated[str, msgspec.Meta(pattern="^[0-9a-fA-F]{0,32}$", description="up to 32 hexadecimal digits")]
 Number = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class Limits(Form, kw_only=True):
     """What the relay may use of its machine."""
+
     memory_mb: Annotated[int, msgspec.Meta(ge=1)] = 192
     descriptors: Annotated[int, msgspec.Meta(ge=16)] = 1024
     disk_mb: Positive = 64.0
@@ -31,12 +34,14 @@
 
 class Sync(Form, kw_only=True):
     """When what is written is safe from a power cut too; a process that ends loses nothing in any case."""
+
     sync: Literal["off", "interval", "each"] = "off"
     every: Span = "50ms"
 
 
 class Fleet(Form, kw_only=True):
     """This relay among those that share the partners' limits."""
+
     relays: Count = 1
     number: Number = 0
     area: str = ""
@@ -48,6 +53,7 @@
 
 class Sending(Form, kw_only=True):
     """How messages may be sent."""
+
     slots: Number | None = None
     room: Number | None = None
     legs: Number | None = None
@@ -64,6 +70,7 @@
 
 class Rules(Form, kw_only=True):
     """What the relay is held to."""
+
     drain_grace: Span | None = None
     ask_within: Span | None = None
     cold: Span | None = None
@@ -95,11 +102,12 @@
 
 class Setup(Form, kw_only=True):
     """One relay's configuration."""
+
     name: str = "relay"
     listen: Place
     directory: Place
     state: str
-    seed: Seed = ""             # empty: drawn at each start
+    seed: Seed = ""  # empty: drawn at each start
     limits: Limits = msgspec.field(default_factory=Limits)
     log: Log = msgspec.field(default_factory=Log)
     journal: Sync = msgspec.field(default_factory=Sync)
@@ -129,15 +137,23 @@
 
 def plain(part):
     """A part as a map without what was left out, its spans in nanoseconds."""
-    return {name: span(value) if SPANS.fullmatch(name) else value
-            for name, value in msgspec.structs.asdict(part).items() if value is not None}
+    return {
+        name: span(value) if SPANS.fullmatch(name) else value
+        for name, value in msgspec.structs.asdict(part).items()
+        if value is not None
+    }
 
 
 def told_of(terms):
     """A `terms` map (as `model.terms.terms_of` reads the platform's settings) in the shape of a file."""
+
     def shaped(form, part):
-        return {name: span_text(value) if SPANS.fullmatch(name) else value
-                for name, value in part.items() if name in form.__struct_fields__}
+        return {
+            name: span_text(value) if SPANS.fullmatch(name) else value
+            for name, value in part.items()
+            if name in form.__struct_fields__
+        }
+
     parts = (("fleet", Fleet), ("sending", Sending), ("rules", Rules))
     return {
         **{name: shaped(form, terms) for name, form in parts},
--- a/courseroute/town/hosts.py
+++ b/courseroute/town/hosts.py
@@ -3,6 +3,7 @@
 Called by `quarter`, once a worker. What a host does with a call `partner.Partner` decides; here it is carried
 out, and the ledger told. A host that refuses connections closes its listeners, a silent one reads nothing.
 """
+
 import contextlib
 import errno
 import socket
@@ -18,13 +19,16 @@
 from courseroute.wire.http import Door, Refused
 
 HEAD, BODY = 16 << 10, 64 << 10
-SPOILT = (b"\0\1noise", b"HTTP/1.1 503 Full\r\nno colon\r\n\r\n",
-          b"HTTP/1.1 500 No\r\nX-Endless: " + b"x" * 40000,
-          b"HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 40000,
-          b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx")
+SPOILT = (
+    b"\0\1noise",
+    b"HTTP/1.1 503 Full\r\nno colon\r\n\r\n",
+    b"HTTP/1.1 500 No\r\nX-Endless: " + b"x" * 40000,
+    b"HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 40000,
+    b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx",
+)
 LOST = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 LINGER = struct.pack("ii", 1, 0)
-GONE_AFTER = 8 * S          # a host that left stands for so long, for calls on their way
+GONE_AFTER = 8 * S  # a host that left stands for so long, for calls on their way
 
 
 def abort(sock):
@@ -63,8 +67,9 @@
             self.partners.append(partner)
             for host in partner.hosts.values():
                 host.open, host.socks, host.refuses, host.wakes = 0, {}, False, trio.Event()
-                self.doors += [(partner, Entrance(host, relay, place.number))
-                               for relay in range(day.relays.count)]
+                self.doors += [
+                    (partner, Entrance(host, relay, place.number)) for relay in range(day.relays.count)
+                ]
 
     async def open(self):
         """{host: [address for each relay]}"""
@@ -142,8 +147,19 @@
         now, mark = self.clock(), request.headers.get("idempotency-key", "")
         body, name = bytes(request.body), request.headers.get("x-request-id", "")
         host.socks[sock] = c
-        self.tell("call", now, c=c, id=name, relay=relay, host=host.name, name=host.name_now, mark=mark,
-                  dst=partner.place.number, began=began, same=body == body_of(mark, len(body)))
+        self.tell(
+            "call",
+            now,
+            c=c,
+            id=name,
+            relay=relay,
+            host=host.name,
+            name=host.name_now,
+            mark=mark,
+            dst=partner.place.number,
+            began=began,
+            same=body == body_of(mark, len(body)),
+        )
         if partner.fallen_until and now >= partner.fallen_until:
             partner.stand_up(now)
         verdict = partner.arrive(now, host.name, door.relay, mark)
@@ -156,7 +172,7 @@
         if not here:
             self.tell("broke", self.clock(), c=c, by="relay")
             await trio.sleep(max(0, due - self.clock()) / 1e9)
-        if verdict.ran:     # also for a caller that has gone: it has the call
+        if verdict.ran:  # also for a caller that has gone: it has the call
             self.tell("ran", self.clock(), c=c, id=name, mark=mark, host=host.name)
         if not here:
             return False
@@ -165,8 +181,17 @@
         headers = [("Wait-Ms", str(-(-verdict.wait // 1_000_000)))] if verdict.wait else []
         if report := partner.load_report(self.clock()):
             headers.append(("X-Load", f"T x0={report[0]}, x1={report[1]}"))
-        self.tell("reply", self.clock(), c=c, status=verdict.status, wait=verdict.wait, relay=relay,
-                  dst=partner.place.number, name=host.name_now, cause=verdict.cause)
+        self.tell(
+            "reply",
+            self.clock(),
+            c=c,
+            status=verdict.status,
+            wait=verdict.wait,
+            relay=relay,
+            dst=partner.place.number,
+            name=host.name_now,
+            cause=verdict.cause,
+        )
         host.socks[sock] = None
         answer = machine.answer(verdict.status, headers, c.encode() if verdict.status == 200 else b"")
         await stream.send_all(answer)
@@ -211,8 +236,12 @@
 
     async def play(self, number, strike, start):
         """One fault at the hosts of this worker, from its beginning to its end."""
-        struck = [(partner, host) for partner in self.partners for host in partner.hosts.values()
-                  if host.name in strike.names or partner.place.name in strike.names]
+        struck = [
+            (partner, host)
+            for partner in self.partners
+            for host in partner.hosts.values()
+            if host.name in strike.names or partner.place.name in strike.names
+        ]
         if not struck:
             return
         await self.until(start + strike.begin)
--- a/courseroute/town/judge.py
+++ b/courseroute/town/judge.py
@@ -20,6 +20,7 @@
 
 `broken` holds what was found, in order. A rule's time limits are 50 ms longer, for the way.
 """
+
 import heapq
 from collections import Counter
 from typing import NamedTuple
@@ -31,14 +32,21 @@
 S = 1000 * MS
 WAY = 50 * MS
 END_WITHIN, AFTER_READY = 300 * MS, 1500 * MS
-SOON = 100 * MS             # calls so soon after a told wait were on their way
-NOTICE_WITHIN = 1000 * MS   # an end is on its way to the platform for so long
-DELIVERED_READ = 100 * MS   # a delivery's answer may wait so long to be read
-TOLD_WITHIN = 6 * S         # of a change, while the directory could be reached: then it counts as told
+SOON = 100 * MS  # calls so soon after a told wait were on their way
+NOTICE_WITHIN = 1000 * MS  # an end is on its way to the platform for so long
+DELIVERED_READ = 100 * MS  # a delivery's answer may wait so long to be read
+TOLD_WITHIN = 6 * S  # of a change, while the directory could be reached: then it counts as told
 NEVER_RAN = (429, 503, 504, 410)
-RULES = ("one final answer", "no effect twice", "drains kept", "cold returns", "order kept", "waits heeded",
-         "unchanged")
-LATE = 250 * MS             # a town later than that says nothing of the relays
+RULES = (
+    "one final answer",
+    "no effect twice",
+    "drains kept",
+    "cold returns",
+    "order kept",
+    "waits heeded",
+    "unchanged",
+)
+LATE = 250 * MS  # a town later than that says nothing of the relays
 
 
 class Broken(NamedTuple):
@@ -61,16 +69,39 @@
 
 class Message:
     """One id: handed in once, to one relay."""
-    __slots__ = ("id", "n", "relay", "lane", "mark", "key", "dst", "until", "at", "taken", "refused",
-                 "dropped", "delivered", "ends", "calls", "effects", "excused")
+
+    __slots__ = (
+        "id",
+        "n",
+        "relay",
+        "lane",
+        "mark",
+        "key",
+        "dst",
+        "until",
+        "at",
+        "taken",
+        "refused",
+        "dropped",
+        "delivered",
+        "ends",
+        "calls",
+        "effects",
+        "excused",
+    )
 
     def __init__(self, row):
         self.id, self.n, self.relay, self.lane = row["id"], row["n"], row["relay"], row["lane"]
         self.mark, self.key, self.dst, self.until, self.at = (
-            row["mark"], row["key"], row["dst"], row["until"], row["at"])
-        self.taken = self.refused = self.delivered = None      # times
+            row["mark"],
+            row["key"],
+            row["dst"],
+            row["until"],
+            row["at"],
+        )
+        self.taken = self.refused = self.delivered = None  # times
         self.dropped = self.excused = False
-        self.ends, self.calls, self.effects = [], [], 0        # ends: (state, at) by notices
+        self.ends, self.calls, self.effects = [], [], 0  # ends: (state, at) by notices
 
     @property
     def over_at(self):
@@ -83,18 +114,21 @@
         self.day, self.broken = day, []
         self.lanes = day.lanes
         self.grace, self.ask_within, self.gap = (
-            span(day.rules.drain_grace), span(day.rules.ask_within), span(day.rules.turn_gap) or 0)
+            span(day.rules.drain_grace),
+            span(day.rules.ask_within),
+            span(day.rules.turn_gap) or 0,
+        )
         self.windows = {name: span(lane.window) for name, lane in day.lanes.items()}
         self.messages, self.calls, self.due = {}, {}, []
         self.told, self.changed, self.asked = {}, {}, {}
-        self.waits = {}                     # (relay, route) -> (from, until)
+        self.waits = {}  # (relay, route) -> (from, until)
         self.apart = {name for name, form in day.kinds.items() if form.apart}
-        self.apart_dst = set()              # numbers of destinations whose hosts are routes of their own
+        self.apart_dst = set()  # numbers of destinations whose hosts are routes of their own
         self.down, self.notices_down, self.notices_up = {}, None, 0
-        self.directory_outages = []         # [from, until or None]
-        self.outs = {}                      # relay -> [(from, ready again or None)]
-        self.turns = {}                     # (relay, key) -> messages in the order taken
-        self.rested = {}                    # (relay, key) -> (whose leg ended unknown, end of the rest)
+        self.directory_outages = []  # [from, until or None]
+        self.outs = {}  # relay -> [(from, ready again or None)]
+        self.turns = {}  # (relay, key) -> messages in the order taken
+        self.rested = {}  # (relay, key) -> (whose leg ended unknown, end of the rest)
         self.areas = {host.name: host.area for place in destinations(day) for host in place.hosts}
         self.late, self.now, self.ticket, self.counts = 0, 0, 0, Counter()
 
@@ -119,8 +153,10 @@
 
     def open(self):
         """How many messages are taken on and have no end."""
-        return sum(msg.taken is not None and msg.over_at is None and not (msg.excused or msg.dropped)
-                   for msg in self.messages.values())
+        return sum(
+            msg.taken is not None and msg.over_at is None and not (msg.excused or msg.dropped)
+            for msg in self.messages.values()
+        )
 
     @property
     def void(self):
@@ -129,7 +165,7 @@
     # Clients.
 
     def on_hand(self, row):
-        if row["id"] not in self.messages:      # once more on a new connection: the same message
+        if row["id"] not in self.messages:  # once more on a new connection: the same message
             self.messages[row["id"]] = Message(row)
         self.counts["handed in"] += 1
 
@@ -148,7 +184,7 @@
             self.counts["pushed back" if row["status"] in (429, 503) else "turned down"] += 1
 
     def on_dropped(self, row):
-        if row["id"] in self.messages:      # else its connection never came up
+        if row["id"] in self.messages:  # else its connection never came up
             self.messages[row["id"]].dropped = True
         self.counts["given up: " + row["why"]] += 1
 
@@ -178,8 +214,13 @@
     def on_call(self, row):
         msg, call = self.messages.get(row["id"]), Call(row)
         if msg is None or row["dst"] != msg.dst or not row["same"] or row["mark"] != msg.mark:
-            what = ("nobody handed it in" if msg is None else "it goes elsewhere" if row["dst"] != msg.dst
-                    else "it was changed")
+            what = (
+                "nobody handed it in"
+                if msg is None
+                else "it goes elsewhere"
+                if row["dst"] != msg.dst
+                else "it was changed"
+            )
             return self.found("unchanged", row["at"], f"a call for {row['id']} to {row['name']}: {what}")
         self.calls[call.c] = call, msg
         self.counts["calls"] += 1
@@ -197,14 +238,18 @@
             return
         changed = self.changed[call.host]
         told = self.told.get((call.relay, call.host))
-        if self.ask_within is not None:     # silence towards the directory counts as told
+        if self.ask_within is not None:  # silence towards the directory counts as told
             silent = max(changed, self.asked.get(call.relay, changed) + self.ask_within)
             told = silent if told is None else min(told, silent)
         if (latest := self.told_at_the_latest(changed)) is not None:
             told = latest if told is None else min(told, latest)
         if told is not None and call.began > told + self.grace + WAY:
-            self.found("drains kept", call.at, f"{call.relay} sent {call.id} to {call.host} "
-                       f"{(call.began - told) // MS} ms after it was told")
+            self.found(
+                "drains kept",
+                call.at,
+                f"{call.relay} sent {call.id} to {call.host} "
+                f"{(call.began - told) // MS} ms after it was told",
+            )
 
     def told_at_the_latest(self, changed):
         """When a change counts as told to all; None while the directory is down, before it does."""
@@ -220,32 +265,48 @@
     def check_wait(self, call, dst):
         begin, until = self.waits.get((call.relay, call.host if dst in self.apart_dst else dst), (0, 0))
         if begin + SOON + WAY < call.at < until - MS:
-            self.found("waits heeded", call.at, f"{call.relay} sent {call.id} to {call.host} "
-                       f"{(until - call.at) // MS} ms before the wait was over")
+            self.found(
+                "waits heeded",
+                call.at,
+                f"{call.relay} sent {call.id} to {call.host} "
+                f"{(until - call.at) // MS} ms before the wait was over",
+            )
 
     def check_end(self, call, msg):
         over = msg.over_at
         if over is None or call.began <= over + WAY:
             return
-        if over == msg.delivered and (call.began <= over + DELIVERED_READ or self.was_out(
-                msg.relay, over - DELIVERED_READ, call.began)):
-            return      # the relay ended, or stood still, before it read the delivery
-        self.found("one final answer", call.at,
-                   f"{msg.id} was sent to {call.host} {(call.began - over) // MS} ms after its end")
+        if over == msg.delivered and (
+            call.began <= over + DELIVERED_READ or self.was_out(msg.relay, over - DELIVERED_READ, call.began)
+        ):
+            return  # the relay ended, or stood still, before it read the delivery
+        self.found(
+            "one final answer",
+            call.at,
+            f"{msg.id} was sent to {call.host} {(call.began - over) // MS} ms after its end",
+        )
 
     def check_repeat(self, call, msg):
         lane, legs = self.lanes[msg.lane], [leg for leg in msg.calls if leg.may_have_run]
         if not legs or lane.effect == "retriable":
             return
         if lane.effect == "non-retriable":
-            self.found("no effect twice", call.at,
-                       f"{msg.id} ({msg.lane}) got a further leg though it may have run")
+            self.found(
+                "no effect twice", call.at, f"{msg.id} ({msg.lane}) got a further leg though it may have run"
+            )
         elif lane.group == "zone" and self.area(call) != self.area(legs[0]):
-            self.found("no effect twice", call.at, f"{msg.id} ({msg.lane}) went on to {call.host}, where its "
-                       f"key is not known")
+            self.found(
+                "no effect twice",
+                call.at,
+                f"{msg.id} ({msg.lane}) went on to {call.host}, where its " f"key is not known",
+            )
         elif call.at > legs[0].at + self.windows[msg.lane] + WAY:
-            self.found("no effect twice", call.at, f"{msg.id} ({msg.lane}) came again "
-                       f"{(call.at - legs[0].at) // MS} ms later, when its key was forgotten")
+            self.found(
+                "no effect twice",
+                call.at,
+                f"{msg.id} ({msg.lane}) came again "
+                f"{(call.at - legs[0].at) // MS} ms later, when its key was forgotten",
+            )
 
     def area(self, call):
         return self.areas.get(call.host.partition("+")[0])
@@ -258,7 +319,8 @@
             if other is msg or other.dropped or other.over_at is not None and other.over_at <= call.began:
                 continue
             if any(leg.ended is None and leg.began < call.began for leg in other.calls) and not (
-                    self.was_out(msg.relay, other.at, call.began)):
+                self.was_out(msg.relay, other.at, call.began)
+            ):
                 self.found("order kept", call.at, f"{msg.id} was sent while a leg of {other.id} was out")
             elif other.taken < msg.at and not self.was_out(msg.relay, other.at, call.began):
                 self.later(call.at + NOTICE_WITHIN, self.check_over, call, msg, other)
@@ -270,8 +332,11 @@
         """An end may be on its way to the platform when the next message of the key is sent."""
         if other.over_at is None or other.over_at > call.began + NOTICE_WITHIN:
             if self.notices_down is None and self.notices_up < call.began:
-                self.found("order kept", call.at,
-                           f"{msg.id} was sent while {other.id} of {msg.key}, taken before it, was not over")
+                self.found(
+                    "order kept",
+                    call.at,
+                    f"{msg.id} was sent while {other.id} of {msg.key}, taken before it, was not over",
+                )
 
     def on_ran(self, row):
         call, msg = self.calls.get(row["c"], (None, None))
@@ -293,7 +358,9 @@
             self.counts["refused"] += 1
         if row["wait"]:
             self.waits[(row["relay"], row["name"] if row["dst"] in self.apart_dst else row["dst"])] = (
-                row["at"], row["at"] + row["wait"])
+                row["at"],
+                row["at"] + row["wait"],
+            )
 
     def on_broke(self, row):
         call, msg = self.calls.get(row["c"], (None, None))
@@ -344,7 +411,7 @@
         if what == "ready":
             for pair in [pair for pair in self.waits if pair[0] == relay]:
                 del self.waits[pair]
-        if what == "wiped":     # the machine with its folder is gone: what it held is owed no more
+        if what == "wiped":  # the machine with its folder is gone: what it held is owed no more
             for msg in self.messages.values():
                 if msg.relay == relay and msg.at <= row["at"]:
                     msg.excused = True
@@ -354,16 +421,21 @@
     def on_fell(self, row):
         self.counts["fell over"] += 1
         if row["load"] and row["known"] * 3 >= row["load"] * 2:
-            self.found("cold returns", row["at"], f"{row['dst']} fell over again: {row['known']} of "
-                       f"{row['load']} calls came from relays that had seen its outage")
+            self.found(
+                "cold returns",
+                row["at"],
+                f"{row['dst']} fell over again: {row['known']} of "
+                f"{row['load']} calls came from relays that had seen its outage",
+            )
 
     def on_late(self, row):
         self.late = max(self.late, row["by"])
 
     def was_out(self, relay, since, until):
         """Whether the relay was down, or stood still, at some time between."""
-        return any(begin <= until and (back is None or back >= since)
-                   for begin, back in self.outs.get(relay, ()))
+        return any(
+            begin <= until and (back is None or back >= since) for begin, back in self.outs.get(relay, ())
+        )
 
     # What is judged later than it is seen.
 
@@ -380,12 +452,16 @@
         if msg.over_at is not None or msg.excused or msg.dropped:
             return
         if (later := self.excuse(msg.relay, at)) is None:
-            return      # its relay was still away when the day ended
+            return  # its relay was still away when the day ended
         if later > at:
             self.later(later, self.check_ended, msg)
         else:
-            self.found("one final answer", at, f"{msg.id} ({msg.lane}) was taken on by {msg.relay} and got "
-                       f"no end within its time; {len(msg.calls)} calls")
+            self.found(
+                "one final answer",
+                at,
+                f"{msg.id} ({msg.lane}) was taken on by {msg.relay} and got "
+                f"no end within its time; {len(msg.calls)} calls",
+            )
 
     def excuse(self, relay, at):
         """When an end that is due now is overdue: no sooner than 1.5 s after its relay is back."""
--- a/courseroute/town/script.py
+++ b/courseroute/town/script.py
@@ -2,6 +2,7 @@
 
 No socket and no clock: the same file gives the same arrivals and faults, byte for byte, on any machine.
 """
+
 import os
 from fnmatch import fnmatchcase
 from typing import Annotated, Literal, NamedTuple
@@ -13,79 +14,125 @@
 from courseroute.run.setup import KindTerms, LaneTerms, Log, Rules, Sending
 
 S = 1_000_000_000
-AT_HOSTS = {"refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow",
-            "errors", "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied"}
+AT_HOSTS = {
+    "refuse",
+    "silent",
+    "hang",
+    "reset-before",
+    "reset-after",
+    "answer-lost",
+    "spoilt",
+    "slow",
+    "errors",
+    "shut",
+    "drain",
+    "leave",
+    "replace",
+    "pause-reports",
+    "limit",
+    "answer-copied",
+}
 AT_RELAYS = {"kill", "restart", "restart-in-use", "pause", "disk-full", "wipe", "reload", "crowd"}
 AT_PLATFORM = {"directory-down", "directory-late", "directory-crowded", "watches-silent", "notices-down"}
 IN_TRAFFIC = {"burst", "hot", "hot-client"}
 KINDS = AT_HOSTS | AT_RELAYS | AT_PLATFORM | IN_TRAFFIC
-LATEST_COPY = 20_000_000     # nanoseconds behind an answer, where a fault is drawn
-OUTAGES = {"refuse", "silent", "hang", "reset-before", "shut"}      # after these a destination is cold
+LATEST_COPY = 20_000_000  # nanoseconds behind an answer, where a fault is drawn
+OUTAGES = {"refuse", "silent", "hang", "reset-before", "shut"}  # after these a destination is cold
 # These have no length.
 MOMENTS = {"kill", "restart", "restart-in-use", "wipe", "reload", "replace", "leave", "watches-silent"}
 Kind = Literal[
-    "refuse", "silent", "hang", "reset-before", "reset-after", "answer-lost", "spoilt", "slow", "errors",
-    "shut", "drain", "leave", "replace", "pause-reports", "limit", "answer-copied", "kill", "restart",
-    "restart-in-use", "crowd",
-    "pause", "disk-full", "wipe", "reload", "directory-down", "directory-late", "directory-crowded",
-    "watches-silent", "notices-down", "burst", "hot", "hot-client"]
+    "refuse",
+    "silent",
+    "hang",
+    "reset-before",
+    "reset-after",
+    "answer-lost",
+    "spoilt",
+    "slow",
+    "errors",
+    "shut",
+    "drain",
+    "leave",
+    "replace",
+    "pause-reports",
+    "limit",
+    "answer-copied",
+    "kill",
+    "restart",
+    "restart-in-use",
+    "crowd",
+    "pause",
+    "disk-full",
+    "wipe",
+    "reload",
+    "directory-down",
+    "directory-late",
+    "directory-crowded",
+    "watches-silent",
+    "notices-down",
+    "burst",
+    "hot",
+    "hot-client",
+]
 
 
 class Relays(Form, kw_only=True):
     """The relays, and what each may use."""
+
     count: Annotated[int, msgspec.Meta(ge=1, le=32)] = 1
     memory_mb: Count = 192
     descriptors: Annotated[int, msgspec.Meta(ge=16)] = 512
     disk_mb: Positive = 16.0
-    noticed_after: Span = "1.5s"        # the front goes on with a dead relay for so long
+    noticed_after: Span = "1.5s"  # the front goes on with a dead relay for so long
 
 
 class Partner(Form, kw_only=True):
     """One destination, or `count` alike: its hosts and what they can do."""
+
     count: Count = 1
     hosts: Count = 1
     kind: str = "plain"
-    areas: list[str] = msgspec.field(default_factory=lambda: ["a"])     # hosts in turn
-    pace: Span = "40ms"                 # median service time
-    spread: Annotated[float, msgspec.Meta(ge=0, le=3)] = 0.3        # sigma of its logarithm
-    concurrency: Count = 8              # calls a host serves at once
+    areas: list[str] = msgspec.field(default_factory=lambda: ["a"])  # hosts in turn
+    pace: Span = "40ms"  # median service time
+    spread: Annotated[float, msgspec.Meta(ge=0, le=3)] = 0.3  # sigma of its logarithm
+    concurrency: Count = 8  # calls a host serves at once
     queue: Annotated[int, msgspec.Meta(ge=0)] = 16
-    connections: Count = 64             # a host holds; more are refused
+    connections: Count = 64  # a host holds; more are refused
     idle_close: Span = "10s"
-    handshake: Span = "0ms"             # the first call of a connection waits so long
-    limit: Positive | None = None       # calls a second, all relays together
-    window: Span = "1s"                 # over which the limit counts
-    aligned: bool = False               # windows begin at whole multiples; else the last `window` counts
-    refused_count: bool = False         # refused calls use the limit up
-    wait: Span | None = None            # told with a refusal
-    reports: bool = False               # answers tell the limit and what is left
-    remembers: Span = "5s"              # a repeated key is dropped for so long
-    stays_down: Span = "10s"            # pushed over when cold, it refuses all for so long
-    share: Positive = 1.0               # of the traffic, against the others
+    handshake: Span = "0ms"  # the first call of a connection waits so long
+    limit: Positive | None = None  # calls a second, all relays together
+    window: Span = "1s"  # over which the limit counts
+    aligned: bool = False  # windows begin at whole multiples; else the last `window` counts
+    refused_count: bool = False  # refused calls use the limit up
+    wait: Span | None = None  # told with a refusal
+    reports: bool = False  # answers tell the limit and what is left
+    remembers: Span = "5s"  # a repeated key is dropped for so long
+    stays_down: Span = "10s"  # pushed over when cold, it refuses all for so long
+    share: Positive = 1.0  # of the traffic, against the others
 
 
 class Traffic(Form, kw_only=True):
-    rate: Positive = 20.0               # messages a second
+    rate: Positive = 20.0  # messages a second
     arrivals: Literal["poisson", "even"] = "poisson"
-    lanes: dict[str, Positive]          # share of each lane
+    lanes: dict[str, Positive]  # share of each lane
     body: Annotated[int, msgspec.Meta(ge=0, le=65536)] = 200
-    customers: Count = 4                # c0, c1, ...
-    keys: Count = 50                    # of ordered lanes
-    answer_within: Span = "400ms"       # a client hands in again after that
-    again: Annotated[int, msgspec.Meta(ge=0)] = 4     # times a message is handed in again
-    connections: Annotated[int, msgspec.Meta(ge=1, le=256)] = 32       # a client process keeps to each relay
+    customers: Count = 4  # c0, c1, ...
+    keys: Count = 50  # of ordered lanes
+    answer_within: Span = "400ms"  # a client hands in again after that
+    again: Annotated[int, msgspec.Meta(ge=0)] = 4  # times a message is handed in again
+    connections: Annotated[int, msgspec.Meta(ge=1, le=256)] = 32  # a client process keeps to each relay
 
 
 class Fault(Form, kw_only=True):
     kind: Kind
     at: Span
     lasts: Span | None = None
-    where: str = "*"            # destination, host (destination.host) or relay (n0); * and ? stand for any
-    share: Share = 1.0          # of the calls it strikes
-    factor: Positive = 1.0      # slow, burst: so many times; limit: the true limit becomes that share
-    told: Positive | None = None        # limit: reports tell that share of the true limit
-    ran: bool | None = None     # reset-after, errors: whether the message has run; else drawn
-    by: Span = "1s"             # directory-late: each answer; directory-crowded: what a call anew takes;
+    where: str = "*"  # destination, host (destination.host) or relay (n0); * and ? stand for any
+    share: Share = 1.0  # of the calls it strikes
+    factor: Positive = 1.0  # slow, burst: so many times; limit: the true limit becomes that share
+    told: Positive | None = None  # limit: reports tell that share of the true limit
+    ran: bool | None = None  # reset-after, errors: whether the message has run; else drawn
+    by: Span = "1s"  # directory-late: each answer; directory-crowded: what a call anew takes;
     # answer-copied: how long behind an answer it is written again
 
     def faults(self):
@@ -99,6 +146,7 @@
 
 class Draw(Form, kw_only=True):
     """Faults drawn from the seed, beside those that are written."""
+
     kinds: list[Kind]
     every: Span = "4s"
     lasts: Span = "2s"
@@ -109,12 +157,12 @@
     about: str = ""
     seed: int = 1
     lasts: Span = "20s"
-    workers: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1      # processes of partners and clients
+    workers: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1  # processes of partners and clients
     relays: Relays = msgspec.field(default_factory=Relays)
     partners: dict[str, Partner]
     traffic: Traffic
     lanes: dict[str, LaneTerms]
-    quotas: dict[str, Positive] = {}    # customer -> messages a second that are its share
+    quotas: dict[str, Positive] = {}  # customer -> messages a second that are its share
     kinds: dict[str, KindTerms] = msgspec.field(default_factory=lambda: {"plain": KindTerms()})
     rules: Rules = msgspec.field(default_factory=Rules)
     sending: Sending = msgspec.field(default_factory=Sending)
@@ -142,8 +190,15 @@
         hosts = [host.name for dst in destinations(self) for host in dst.hosts]
         names = [dst.name for dst in destinations(self)]
         for at, fault in enumerate(self.fault):
-            allowed = (names + hosts if fault.kind in AT_HOSTS else relays if fault.kind in AT_RELAYS
-                       else customers(self) if fault.kind == "hot-client" else names)
+            allowed = (
+                names + hosts
+                if fault.kind in AT_HOSTS
+                else relays
+                if fault.kind in AT_RELAYS
+                else customers(self)
+                if fault.kind == "hot-client"
+                else names
+            )
             anywhere = fault.kind in AT_PLATFORM | {"burst"}
             if not anywhere and not any(fnmatchcase(name, fault.where) for name in allowed):
                 yield f"fault[{at}].where", repr(fault.where), "one of " + ", ".join(allowed[:12])
@@ -152,21 +207,23 @@
 
 
 class HostPlace(NamedTuple):
-    name: str           # insurer-0.1
+    name: str  # insurer-0.1
     index: int
     area: str
 
 
 class Place(NamedTuple):
     """A destination with its number on the wire."""
+
     number: int
-    name: str           # insurer-0
+    name: str  # insurer-0
     form: Partner
     hosts: tuple
 
 
 class Strike(NamedTuple):
     """One fault with its times in nanoseconds from the day's start, and the names it strikes."""
+
     kind: str
     begin: int
     end: int
@@ -176,12 +233,12 @@
 
 class Arrival(NamedTuple):
     n: int
-    at: int             # nanoseconds from the day's start
+    at: int  # nanoseconds from the day's start
     lane: str
     dst: int
     customer: str
-    key: str            # of ordered lanes, else ""
-    relay: float        # drawn: which relay the front hands it to
+    key: str  # of ordered lanes, else ""
+    relay: float  # drawn: which relay the front hands it to
     body: int
 
 
@@ -206,8 +263,9 @@
 def merged(under, over):
     if not (isinstance(under, dict) and isinstance(over, dict)):
         return over
-    return under | {name: merged(under[name], value) if name in under else value
-                    for name, value in over.items()}
+    return under | {
+        name: merged(under[name], value) if name in under else value for name, value in over.items()
+    }
 
 
 def customers(day):
@@ -219,8 +277,9 @@
     for name, form in day.partners.items():
         for i in range(form.count):
             own = f"{name}-{i}"
-            hosts = tuple(HostPlace(f"{own}.{h}", h, form.areas[h % len(form.areas)])
-                          for h in range(form.hosts))
+            hosts = tuple(
+                HostPlace(f"{own}.{h}", h, form.areas[h % len(form.areas)]) for h in range(form.hosts)
+            )
             found.append(Place(len(found) + 1, own, form, hosts))
     return found
 
@@ -234,9 +293,14 @@
         while at < span(day.lasts):
             kind = str(rng.choice(drawn.kinds))
             names = names_for(day, kind)
-            fault = Fault(kind=kind, at=f"{at}ns", where=str(rng.choice(names)) if names else "*",
-                          lasts=f"{int(span(drawn.lasts) * rng.uniform(0.5, 1.5))}ns", by=drawn_by(kind, rng),
-                          factor={"slow": 5.0, "burst": 3.0, "limit": 0.5}.get(kind, 1.0))
+            fault = Fault(
+                kind=kind,
+                at=f"{at}ns",
+                where=str(rng.choice(names)) if names else "*",
+                lasts=f"{int(span(drawn.lasts) * rng.uniform(0.5, 1.5))}ns",
+                by=drawn_by(kind, rng),
+                factor={"slow": 5.0, "burst": 3.0, "limit": 0.5}.get(kind, 1.0),
+            )
             found.append(strike(day, fault))
             at += int(span(drawn.every) * rng.uniform(0.5, 1.5))
     return sorted(found, key=lambda one: (one.begin, one.kind, one.names))
@@ -263,8 +327,12 @@
         names = [name for name in names_for(day, fault.kind) if fnmatchcase(name, fault.where)]
     elif fault.kind in AT_HOSTS:
         names = [dst.name for dst in destinations(day) if fnmatchcase(dst.name, fault.where)]
-        names += [host.name for dst in destinations(day) for host in dst.hosts
-                  if dst.name in names or fnmatchcase(host.name, fault.where)]
+        names += [
+            host.name
+            for dst in destinations(day)
+            for host in dst.hosts
+            if dst.name in names or fnmatchcase(host.name, fault.where)
+        ]
     else:
         names = [dst.name for dst in destinations(day) if fnmatchcase(dst.name, fault.where)]
     return Strike(fault.kind, begin, end, tuple(names), fault)
@@ -299,5 +367,6 @@
         key = f"key-{int(rng.integers(day.traffic.keys))}" if day.lanes[lane].ordered else ""
         whose = whose or clients
         customer = whose[int(rng.integers(len(whose)))]
-        found.append(Arrival(len(found), int(at), lane, dst, customer, key, float(rng.random()),
-                             day.traffic.body))
+        found.append(
+            Arrival(len(found), int(at), lane, dst, customer, key, float(rng.random()), day.traffic.body)
+        )
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -1,4 +1,5 @@
 """Thin driver for the clients' connections: reads, feeds the machine, writes what it answers."""
+
 import errno
 import os
 import select
@@ -11,14 +12,15 @@
 
 class Guest:
     """One connection, and where it stands."""
+
     __slots__ = ("sock", "stream", "door", "scope", "since", "half", "asked", "last")
 
     def __init__(self, sock, door):
         self.sock, self.stream, self.door = sock, trio.SocketStream(sock), door
-        self.scope = trio.CancelScope()     # of the read it waits in
-        self.last = False       # it was given up: what was read of it is still answered, then it ends
-        self.since = trio.current_time()    # when its request began, a first one with the connection
-        self.half, self.asked = 0, False    # bytes of a half-read request; whether a whole one came yet
+        self.scope = trio.CancelScope()  # of the read it waits in
+        self.last = False  # it was given up: what was read of it is still answered, then it ends
+        self.since = trio.current_time()  # when its request began, a first one with the connection
+        self.half, self.asked = 0, False  # bytes of a half-read request; whether a whole one came yet
 
 
 class Clients:
@@ -26,11 +28,11 @@
 
     def __init__(self, desk, house, listener, most, refusing, half_read, log):
         self.desk, self.house, self.listener, self.log = desk, house, listener, log
-        self.most, self.refusing = most, refusing       # connections served, and those that hear a 503
+        self.most, self.refusing = most, refusing  # connections served, and those that hear a 503
         self.left = half_read
         self.within = house["read_within"] / 1e9, house["idle"] / 1e9
         self.open = set()
-        self.silent, self.idle = {}, {}     # guests who never asked, those between requests
+        self.silent, self.idle = {}, {}  # guests who never asked, those between requests
         self.closing = False
         self.full = False
 
@@ -54,7 +56,7 @@
             await self.receive(guest)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        except Exception as cause:      # a peer's odd bytes must cost its own connection only
+        except Exception as cause:  # a peer's odd bytes must cost its own connection only
             self.log("connection failed", error=repr(cause)[:300])
         finally:
             self.hold(guest, 0)
@@ -70,7 +72,7 @@
         elif len(self.open) < self.most - self.refusing:
             self.full = False
         if len(self.open) >= self.most + self.refusing:
-            os.write(guest.sock.fileno(), guest.door.answer(503, close=True))    # sockets never block here
+            os.write(guest.sock.fileno(), guest.door.answer(503, close=True))  # sockets never block here
             guest.sock.shutdown(socket.SHUT_WR)
         else:
             self.open.add(guest)
@@ -121,7 +123,7 @@
                     return
         except Refused as cause:
             await self.write(stream, door.answer(cause.status, body=f"{cause}\n".encode(), close=True))
-            with trio.move_on_after(self.house["last_words"] / 1e9):    # closing on unread bytes would reset
+            with trio.move_on_after(self.house["last_words"] / 1e9):  # closing on unread bytes would reset
                 await stream.send_eof()
                 while await stream.receive_some(self.house["body"]):
                     pass
@@ -134,7 +136,7 @@
         door, data, now = guest.door, None, trio.current_time()
         if guest.last:
             raise EOFError
-        if guest.since is None and door.begun:      # its first bytes came behind the last request
+        if guest.since is None and door.begun:  # its first bytes came behind the last request
             guest.since = now
         due = (now if guest.since is None else guest.since) + self.within[guest.since is None]
         waiting = self.idle if guest.asked else self.silent
