--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -20,6 +20,7 @@
 from courseroute.run.logbook import say, set_log
 from courseroute.run.standstill import Standstills
 from courseroute.state.desk import Desk
+from courseroute.state.figures import LOOP_DELAY
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
@@ -200,7 +201,7 @@
         while True:
             due = time.monotonic_ns() + HOUSE["sweep"]
             await trio.sleep(HOUSE["sweep"] / 1e9)
-            self.desk.figures.loop_was_late(time.monotonic_ns() - due)
+            self.desk.figures.longest(LOOP_DELAY, time.monotonic_ns() - due)
             pool.sweep()
             self.desk.write_late()
             self.desk.keep_lessons()
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -20,7 +20,7 @@
 
 class Held:
     __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "at",
-                 "promised", "legs", "ending", "size")
+                 "promised", "legs", "ending", "size", "unread")
 
     def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again, at=0):
         self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
@@ -28,6 +28,7 @@
         self.at = at        # taken on: the order among those of one key
         self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
         self.size = 0       # in the log, with room for all its legs
+        self.unread = 0     # how long its request had lain unread, in nanoseconds; not kept in the log
 
     def record(self):
         return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
@@ -50,6 +51,7 @@
         self.syncer = None
         self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
+        self.deadlines = {}                 # of messages whose notices are owed, those of this life
         self.withheld = {}                  # ends not told yet, as they are not written: name -> deadline
         self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
@@ -58,18 +60,18 @@
 
     # Clients.
 
-    def answer(self, request, gone):
-        """The answer to a request: (status, headers, body)."""
+    def answer(self, request, gone, unread=0):
+        """(status, headers, body), the answer to a request whose last byte came `unread` nanoseconds ago."""
         if request.target in ("/ready", "/health"):
             return (200 if self.ready or request.target == "/health" else 503), (), b""
         try:
             told = words.notice_of(request, self.terms["lanes"], self.house["name"])
         except words.Refused as cause:
             return cause.status, (), f"{cause}\n".encode()
-        status, after = self.take(told, gone)
+        status, after = self.take(told, gone, unread)
         return status, ([("Retry-After", f"{after / 1e9:.3f}")] if after else ()), b""
 
-    def take(self, told, gone):
+    def take(self, told, gone, unread=0):
         name = told["name"]
         if name in self.held:       # handed in once more, as its answer may have been lost
             return 202, 0
@@ -79,6 +81,8 @@
         deadline = now + told["left"] - self.unread_for()
         msg = Held(name, told["dst"], told["lane"], deadline, bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
+        msg.unread = unread
+        self.figures.longest("request_unread_ms", unread)
         if cause := self.why_refused(msg, gone):
             self.figures.count("closed", cause)
             return 503, 0
@@ -278,8 +282,10 @@
             self.forget(msg, state)
             return
         self.say("message closed", id=name, state=state, cause=cause, lane=msg.lane, attempts=len(msg.legs),
-                 held_ms=(self.clock() - msg.at) // MS)
+                 held_ms=(self.clock() - msg.at) // MS, left_ms=(msg.deadline - self.clock()) // MS,
+                 unread_ms=msg.unread // MS)
         self.owed[name] = state, after
+        self.deadlines[name] = msg.deadline
         self.count(NOTICE + len(name))
         self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
         self.withheld[name] = msg.deadline
@@ -293,9 +299,22 @@
 
     def told_of(self, names):
         """Notices that the platform has."""
+        for name in names:
+            self.note_told(name, self.deadlines.pop(name, None))
         self.count(-sum(NOTICE + len(name) for name in names))
         self.note(*(self.log.over(name, self.owed.pop(name)[0]) for name in names))
 
+    def note_told(self, name, deadline):
+        """Counts a notice by whether it was told before its deadline; logs one that was not."""
+        if deadline is None:        # owed since an earlier life
+            self.figures.count("notices", "of an earlier life")
+            return
+        late = self.clock() - deadline
+        self.figures.count("notices", "in time" if late <= 0 else "behind the deadline")
+        self.figures.longest("notice_behind_deadline_ms", late)
+        if late > 0:
+            self.say("notice behind its deadline", id=name, late_ms=late // MS)
+
     def finish(self, msg, state):
         msg.ending = state, 0
         self.figures.count("messages", state)
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -8,6 +8,7 @@
 import trio
 
 from courseroute.wire.http import Door, Refused
+from courseroute.wire.unread import since_last_byte
 
 
 class Guest:
@@ -115,7 +116,8 @@
                 guest.since, guest.asked = None, True
                 if extra:
                     raise Refused(503, "no room for more connections")
-                status, headers, body = self.desk.answer(request, gone(guest.sock))
+                unread = since_last_byte(guest.sock)
+                status, headers, body = self.desk.answer(request, gone(guest.sock), unread)
                 if status == 202:
                     await self.desk.settled()
                 await self.write(stream, door.answer(status, headers, body, close=self.closing or guest.last))
--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -53,6 +53,7 @@
 
     async def post(self, body):
         """The answer's status, None where none came."""
+        begun = trio.current_time()
         try:
             status, _ = await self.line.exchange(
                 self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body
@@ -60,8 +61,14 @@
             if not await self.line.is_sure():  # told once more on a new connection, which does no harm
                 self.log("notices told again", count=body.count(b"\n"), status=status)
                 return await self.post(body)
-        except (*LOST, Refused):
+        except (*LOST, Refused) as error:
             status = None
+            self.log(
+                "notice call failed",
+                error=str(error)[:200] or type(error).__name__,
+                call_ms=round((trio.current_time() - begun) * 1000),
+                notices=body.count(b"\n"),
+            )
         if (status is None) != self.failing:
             self.failing = status is None
             self.log("notices fail" if self.failing else "notices are taken again", owed=len(self.lines))
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -212,7 +212,7 @@
     ask = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
 
     class Answers:
-        def answer(self, request, gone):
+        def answer(self, request, gone, unread):
             return 200, (), b""
 
     async def play():
