--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 SEEDS = 50
 DAY = repeats
-RELAY_OF_repeats = env PYTHONPATH=tests/shims:. SYSTEM_CALL_FAULTS='%s 0.01' $(LAB) -m courseroute
+RELAY_OF_repeats = env PYTHONPATH=courseroute/town/shims:. SYSTEM_CALL_FAULTS='%s 0.01' $(LAB) -m courseroute
 RELAY_OF_stale-lists = $(LAB) -m courseroute
 RELAY_OF_copied-answers = $(LAB) -m courseroute
 RELAY_OF_restarts-in-use = $(LAB) -m courseroute
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -100,12 +100,12 @@
         (self.folder / "config.json").write_text(json.dumps(config))
 
     def start(self, wait=True, **faults):
-        """`faults`: variables that tests/shims/sitecustomize.py heeds, as wall_clock_step_s=-2."""
+        """`faults`: variables that courseroute/town/shims/sitecustomize.py heeds, as wall_clock_step_s=-2."""
         self.configure()
         env = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
         if faults:
             env |= {name.upper(): str(value) for name, value in faults.items()}
-            env["PYTHONPATH"] = str(ROOT / "tests" / "shims")
+            env["PYTHONPATH"] = str(ROOT / "courseroute" / "town" / "shims")
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.log = open(self.folder / "out", "ab")
         self.relay = subprocess.Popen(["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -4,7 +4,8 @@
 
 import pytest
 from helpers import Town, until
-from proxy import Copies, Proxy
+
+from courseroute.town.proxy import Copies, Proxy
 
 PAIRS = 4
 ANSWER_AFTER_S = 0.08
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,7 @@
 # Guards against a request that must not be repeated being sent again, where faults of all kinds meet.
 @pytest.mark.parametrize("seed", [1, 2])
 def test_every_rule_is_kept_while_system_calls_fail(tmp_path, monkeypatch, seed):
-    monkeypatch.setenv("PYTHONPATH", f"{ROOT / 'tests' / 'shims'}:{ROOT}")
+    monkeypatch.setenv("PYTHONPATH", f"{ROOT / 'courseroute' / 'town' / 'shims'}:{ROOT}")
     monkeypatch.setenv("SYSTEM_CALL_FAULTS", f"{seed} {SHARE_OF_CALLS}")
     day = load(ROOT / "examples" / "repeats.toml", seed=seed, lasts="8s")
     found = figures(trio.run(play, day, tmp_path / "day"))
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -4,7 +4,8 @@
 
 import pytest
 from helpers import Town, until
-from proxy import Proxy
+
+from courseroute.town.proxy import Proxy
 
 WINDOW_S = 0.8
 LARGE_BODY = b"x" * 9_000  # more than a proxy takes in unread, less than the sender's system does
