--- a/courseroute/town/proxy.py
+++ b/courseroute/town/proxy.py
@@ -1,10 +1,12 @@
-"""A TCP proxy before one address: connections come up late, bytes are held back, answers come twice."""
+"""A TCP proxy before one address: connections come up late or stay silent, bytes are held back or come late,
+answers come twice."""
 
 import contextlib
 import select
 import socket
 import threading
 import time
+from collections import deque
 from typing import NamedTuple
 
 POLL_S = 0.01
@@ -37,6 +39,8 @@
         self.passing.set()
         self.fillers = []
         self.copies, self.copied = None, 0  # Copies to make, and how many were made
+        self.late_s = 0.0  # what clients send is passed on so many seconds later
+        self.silent_connections = 0  # so many of the next ones are read, and never answered
         self.threads = [threading.Thread(target=self.accept, daemon=True)]
         self.threads[0].start()
 
@@ -85,8 +89,12 @@
                 thread.start()
 
     def connection(self, client):
+        if self.silent_connections:
+            self.silent_connections -= 1
+            return self.swallow(client)
         with client, socket.create_connection(self.place) as server, contextlib.suppress(OSError):
             copy = due = None  # of an answer: its bytes, and when they are to be sent
+            late = deque()  # (when to send it, bytes) of what the client sent
             while not self.ended.is_set():
                 wanted = [server, client] if self.passing.is_set() else [server]
                 wait = POLL_S if due is None else min(POLL_S, max(0, due - time.monotonic()))
@@ -94,13 +102,25 @@
                     data = source.recv(CHUNK)
                     if not data:
                         return
-                    (server if source is client else client).sendall(data)
+                    if source is server:
+                        client.sendall(data)
+                    else:
+                        late.append((time.monotonic() + self.late_s, data))
                     if source is server and self.copies and data.startswith(self.copies.head):
                         copy, after_s = data, self.copies.after_s
                         due = None if after_s is None else time.monotonic() + after_s
                     elif source is client and copy and due is None:
                         due = time.monotonic()
+                while late and late[0][0] <= time.monotonic():
+                    server.sendall(late.popleft()[1])
                 if due is not None and time.monotonic() >= due:
                     client.sendall(copy)
                     self.copied += 1
                     copy = due = None
+
+    def swallow(self, client):
+        """Reads a connection to its end without a word."""
+        with client, contextlib.suppress(OSError):
+            while not self.ended.is_set():
+                if select.select([client], [], [], POLL_S)[0] and not client.recv(CHUNK):
+                    return
--- /dev/null
+++ b/tests/test_final_answers.py
@@ -0,0 +1,73 @@
+"""Final answers on real processes: each message that was taken on ends within its time, whatever is slow."""
+
+import threading
+import time
+
+import pytest
+from helpers import Town, until
+
+from courseroute.town.proxy import Proxy
+
+END_WITHIN_S = 0.3 + 0.05  # of the deadline, as the protocol has it
+CLIENT_WAITS_S = 0.4  # for its answer: what it handed in is at most so old when it is taken on
+TIME_LEFT_S = 2.0
+
+
+@pytest.fixture
+def town(tmp_path):
+    """One with hosts that never answer, and a proxy before the platform; `client_proxy` is one before its
+    relay."""
+    town = Town(tmp_path)
+    town.plan = lambda call: "hang"
+    platform_proxy = Proxy(town.discovery)
+    town.platform_proxy, town.discovery = platform_proxy, platform_proxy.address
+    town.start()
+    town.client_proxy = Proxy(("127.0.0.1", town.port))
+    yield town
+    town.close()
+    town.client_proxy.close()
+    platform_proxy.close()
+
+
+def hand_in_late(town, unseen_s):
+    """Hands a message in over a way on which it takes `unseen_s`; (its deadline, on the monotonic clock, the
+    answer)."""
+    town.client_proxy.late_s = unseen_s
+    town.port, relay_port = town.client_proxy.address[1], town.port
+    begun = time.monotonic()
+    status = town.hand_in("a", left=f"{TIME_LEFT_S * 1000:.0f}m")
+    town.port = relay_port
+    return begun + TIME_LEFT_S, status
+
+
+def ended_at(town):
+    assert until(lambda: town.notices, within=TIME_LEFT_S + 2)
+    return time.monotonic()
+
+
+# Guards against a final answer behind its time for a request that was long on its way to the relay, so that
+# its deadline was nearer than the relay could see.
+def test_a_request_that_was_long_on_its_way_ends_within_its_time(town):
+    town.platform_proxy.late_s = 0.06
+    deadline, status = hand_in_late(town, unseen_s=0.33)
+    assert status == 202
+    assert ended_at(town) <= deadline + END_WITHIN_S
+
+
+# Guards against notices that wait behind a call to the platform which gets no answer.
+@pytest.mark.parametrize("silent", [1, 2])
+def test_a_message_ends_within_its_time_though_calls_to_the_platform_get_no_answer(town, silent):
+    town.platform_proxy.silent_connections = silent
+    deadline, status = hand_in_late(town, unseen_s=0.3)
+    assert status == 202
+    assert ended_at(town) <= deadline + END_WITHIN_S
+
+
+# The same for notices that are owed while such a call is out.
+def test_a_notice_does_not_wait_for_a_call_to_the_platform_that_gets_no_answer(town):
+    town.platform_proxy.silent_connections = 1
+    town.hand_in("a", left="600m")
+    threading.Thread(target=town.hand_in, args=("b",), kwargs={"left": "650m"}).start()
+    assert until(lambda: len(town.notices) == 2)
+    closed = {event["id"]: event["at"] for event in town.events() if event["event"] == "message closed"}
+    assert time.time() * 1000 - max(closed.values()) < 200
