A message's final answer is begun half a second ahead of its deadline, not at it

Cause: Dispatcher.take planned the end 10 ms ahead of the deadline, which the desk counts from when it read the request; the client's clock had begun up to 0.37 s before, and a busy process or a call to the platform without an answer came on top. Now the desk tells the decisions the time by which the answer has to be begun: the deadline less 0.5 s (a client waits 0.4 s, a process may be held up for 0.15 s, a call made again; 0.35 s of it the rule allows), at most a quarter of the message's time.

--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -16,7 +16,8 @@
     memory(now)                                 asked now and then: what the next life is to know, plain lists
     recall(now, told, at)                       that, told after the list of a new life, and when it was kept
     take(now, name, dst, lane, deadline, key, customer, again, legs)
-                                                legs of an earlier life, each (host, sent at, ending or None)
+                                                deadline: by when its end has to be told; legs: of an earlier
+                                                life, each (host, sent at, ending or None)
     withdraw(now, name)                         nobody wants the message any more
     outcome(now, name, n, host, ending, took, wait, report, over, idle)
                                                 idle: how long the connection had stood so, None for a new one
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -6,6 +6,7 @@
 import traceback
 from collections import OrderedDict, deque
 
+from courseroute.decisions.final_answer import answer_by
 from courseroute.journal import frames as records
 from courseroute.journal.frames import record
 from courseroute.journal.replay import Replay
@@ -30,6 +31,11 @@
         self.size = 0       # in the log, with room for all its legs
         self.unread = 0     # how long its request had lain unread, in nanoseconds; not kept in the log
 
+    @property
+    def answer_by(self):
+        """When its final answer has to be begun, for the answer to arrive before the deadline."""
+        return answer_by(self.at, self.deadline)
+
     def record(self):
         return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
                                       self.customer, self.again, self.at], self.body)
@@ -88,7 +94,7 @@
             return 503, 0
         self.held[name] = msg
         self.count(msg.size)
-        self.tell("take", name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again)
+        self.tell("take", name, msg.dst, msg.lane, msg.answer_by, msg.key, msg.customer, msg.again)
         if msg.ending is None:
             try:
                 self.promise(msg)
@@ -386,5 +392,5 @@
             if told and (same_clock or 0 <= self.clock() - at <= self.house["learned_for"]):
                 self.tell("recall", told, at)
         for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
-            self.tell("take", msg.name, msg.dst, msg.lane, msg.deadline, msg.key, msg.customer, msg.again,
+            self.tell("take", msg.name, msg.dst, msg.lane, msg.answer_by, msg.key, msg.customer, msg.again,
                       [tuple(leg) for leg in msg.legs])
