Notices no longer wait for a call to the platform that gets no answer

Now up to six calls may be out; notices of a call that has not answered after 0.1 s (then 0.2, 0.4) are told once more on a connection that is dialled anew, while the first call goes on for up to 2 s; new notices use a connection that has rested or a new one. A notice that is taken twice does no harm, by the protocol. The test of the platform's copied answer now waits until the connection has rested, so that the next notice goes on it as before; it fails where the answer is not checked.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -39,7 +39,7 @@
     "client_connections": 0.5, "refusing": 0.06, "host_connections": 0.3, "half_read": 0.1, "held": 0.25,
     "kept_list": 0.05, "learned": 0.02, "head": 16 << 10, "body": 64 << 10, "list": 4 << 20, "name": 256,
     "ends": 1024, "legs": 8, "backlog": 512, "idle": 5 * S, "idle_share": 0.8, "between_slices": S // 250,
-    "read_within": 2 * S, "write_within": 2 * S, "list_within": 10 * S, "notice_within": S // 4,
+    "read_within": 2 * S, "write_within": 2 * S, "list_within": 10 * S, "notice_within": 2 * S,
     "notice_pause": S // 20, "drain_answer": S // 2, "last_words": S // 5, "sweep": S // 2,
     "learned_for": FORGET}
 
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -172,7 +172,8 @@
         )
         say("configuration read", discovery=place, moved=place != self.told["discovery"], at_next_start=later)
         if place != self.told["discovery"]:
-            self.told["discovery"] = self.desk.notices.line.place = place
+            self.told["discovery"] = place
+            self.desk.notices.move(place)
             self.desk.discovery.move(place)
 
     def set_alarm(self, delay):
--- a/courseroute/wire/link.py
+++ b/courseroute/wire/link.py
@@ -118,6 +118,10 @@
         if self.dialled != self.place or (self.link is not None and unread(self.link.socket) is not None):
             self.drop()
 
+    def is_rested(self):
+        """Whether a connection is kept on which a call need not wait."""
+        return self.link is not None and trio.current_time() >= self.answered_at + LINE_REST_NS / 1e9
+
     async def is_sure(self):
         """Whether the last answer was surely that to its call: the first one on a connection is, and one
         behind which nothing came while the connection rested. Another may be a copy of the one before."""
--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -1,4 +1,9 @@
-"""Notices to the platform: a queue of ends owed, told in batches over one connection until they are taken."""
+"""Notices to the platform: final statuses owed, told in batches until they are taken.
+
+A call may get no answer, or its connection may come up late. The notices of a call that is out for long are
+told once more on another connection, ever later, without an end to the first call: a notice that is taken
+twice does no harm, one that waits for a call that is lost comes behind its time.
+"""
 
 import orjson
 import trio
@@ -7,69 +12,143 @@
 from courseroute.wire.link import LOST, Line
 from courseroute.wire.words import UNITS
 
+CONNECTIONS = 6
+CALL_AGAIN_AFTER_S, LONGEST_CALL_AGAIN_AFTER_S = 0.1, 0.4  # it doubles with each call
+ANSWER_IS_CHECKED_S = 0.2  # an answer may still turn out to be another call's
+
+
+class PendingNotice:
+    """One notice, and when it may be told (once more): trio's time, in seconds."""
+
+    __slots__ = ("line", "due", "calls")
+
+    def __init__(self, line, due):
+        self.line, self.due, self.calls = line, due, 0
+
+    def called(self, now):
+        """A call with it leaves."""
+        wait = min(CALL_AGAIN_AFTER_S * 2**self.calls, LONGEST_CALL_AGAIN_AFTER_S)
+        self.due, self.calls = now + wait, self.calls + 1
+
 
 class Notices:
+    """Each notice ends in one `desk.told_of`. At most CONNECTIONS calls are out at once."""
+
     def __init__(self, desk, house, place, log):
         self.desk, self.house, self.log = desk, house, log
-        self.line = Line(place, house["head"], house["body"])
-        self.lines, self.some = {}, trio.Event()
+        # Those that no call uses, the one used last at the end.
+        self.free = [Line(place, house["head"], house["body"]) for _ in range(CONNECTIONS)]
+        self.lines = tuple(self.free)
+        self.pending = {}  # message's name -> PendingNotice, the oldest first
+        self.news = trio.Event()  # set where there may be something to do
         self.failing = False
 
     def owe(self, name, state, after):
-        line = {"id": name, "state": state}
+        told = {"id": name, "state": state}
         if after:
-            line["after_ms"] = -(-after // UNITS["m"])
-        self.lines[name] = orjson.dumps(line) + b"\n"
-        self.some.set()
+            told["after_ms"] = -(-after // UNITS["m"])
+        self.pending[name] = PendingNotice(orjson.dumps(told) + b"\n", due=0.0)
+        self.news.set()
+
+    def move(self, place):
+        """The platform is elsewhere from now on."""
+        for line in self.lines:
+            line.place = place
 
-    def batch(self):
-        """As many as a body holds, the oldest first."""
+    async def serve(self):
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                names = self.batch(now) if self.free else []
+                if not names:
+                    await self.wait()
+                    continue
+                line = self.take_line(names)
+                for name in names:
+                    self.pending[name].called(now)
+                nursery.start_soon(self.call, line, names)
+
+    def batch(self, now):
+        """The names of those that are due, the oldest first, as many as a body holds."""
         names, size = [], 0
-        for name, line in self.lines.items():
-            size += len(line)
+        for name, notice in self.pending.items():
+            if notice.due > now:
+                continue
+            size += len(notice.line)
             if size > self.house["body"]:
                 break
             names.append(name)
-        return names, b"".join(self.lines[name] for name in names)
+        return names
 
-    async def serve(self):
-        while True:
-            while not self.lines:
-                self.some = trio.Event()
-                await self.some.wait()
-            names, body = self.batch()
-            status = await self.post(body)
-            if status is None:
-                await trio.sleep(self.house["notice_pause"] / 1e9)
-                continue
-            if status != 204:
-                self.log("notices not taken", status=status, count=len(names))
-                if status != 400:
-                    await trio.sleep(self.house["notice_pause"] / 1e9)
-                    continue
-            for name in names:
-                del self.lines[name]
-            self.desk.told_of(names)
+    def take_line(self, names):
+        """A connection for a call: one in use and rested for a first call, else one that has to be dialled.
+        Notices that a call did not deliver are not trusted to another connection that stood idle."""
+        repeats = any(self.pending[name].calls for name in names)
+        kept = [line for line in self.free if line.is_rested()]
+        unused = [line for line in self.free if line.link is None]
+        line = kept[-1] if kept and not repeats else (unused or self.free)[0]
+        self.free.remove(line)
+        if repeats:
+            line.drop()
+        return line
 
-    async def post(self, body):
-        """The answer's status, None where none came."""
-        begun = trio.current_time()
+    async def wait(self):
+        """Until something is news, or the next notice is due."""
+        self.news = trio.Event()
+        dues = [notice.due for notice in self.pending.values()] if self.free else []
+        with trio.move_on_at(min(dues, default=float("inf"))):
+            await self.news.wait()
+
+    async def call(self, line, names):
+        status = await self.post(line, names)
+        self.free.append(line)
+        taken = [name for name in names if name in self.pending]
+        if status in (204, 400):  # one that can't be read will not be read the next time
+            for name in taken:
+                del self.pending[name]
+            self.desk.told_of(taken)
+        else:
+            self.postpone(taken, at_most=self.house["notice_pause"] / 1e9)
+        if status not in (None, 204):
+            self.log("notices not taken", status=status, count=len(names))
+        self.news.set()
+
+    def postpone(self, names, at_most):
+        due = trio.current_time() + at_most
+        for name in names:
+            self.pending[name].due = min(self.pending[name].due, due)
+
+    async def post(self, line, names):
+        """The answer's status; None where none came, or it was not surely the answer to this call."""
+        begun, status = trio.current_time(), None
+        body = b"".join(self.pending[name].line for name in names)
         try:
-            status, _ = await self.line.exchange(
+            answered, _ = await line.exchange(
                 self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body
             )
-            if not await self.line.is_sure():  # told once more on a new connection, which does no harm
-                self.log("notices told again", count=body.count(b"\n"), status=status)
-                return await self.post(body)
+            self.hold(names)
+            if await line.is_sure():
+                status = answered
+            else:  # told once more on a new connection, which does no harm
+                self.log("notices told again", count=len(names), status=answered)
         except (*LOST, Refused) as error:
-            status = None
             self.log(
                 "notice call failed",
                 error=str(error)[:200] or type(error).__name__,
                 call_ms=round((trio.current_time() - begun) * 1000),
-                notices=body.count(b"\n"),
+                notices=len(names),
             )
-        if (status is None) != self.failing:
-            self.failing = status is None
-            self.log("notices fail" if self.failing else "notices are taken again", owed=len(self.lines))
+        self.note_failing(status is None)
         return status
+
+    def hold(self, names):
+        """Not told again while the answer that came is looked at."""
+        due = trio.current_time() + ANSWER_IS_CHECKED_S
+        for name in names:
+            if name in self.pending:
+                self.pending[name].due = max(self.pending[name].due, due)
+
+    def note_failing(self, failing):
+        if failing != self.failing:
+            self.failing = failing
+            self.log("notices fail" if failing else "notices are taken again", owed=len(self.pending))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -115,6 +115,7 @@
     town.start()
     assert town.hand_in("a", "once") == 202
     assert until(lambda: [notice["id"] for notice in town.notices] == ["a"])
+    time.sleep(2 * ANSWER_AFTER_S)  # the connection has rested, so that the next notice goes on it
     town.platform_status = 503
     assert town.hand_in("b", "once") == 202
     assert until(lambda: platform_proxy.copied)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -154,9 +154,9 @@
     again = desk_of(tmp_path, Still())
     assert list(again.held) == ([] if end else ["a"])
     assert [told[0] for told in again.dispatcher.told] == list(again.held)
-    assert list(again.notices.lines) == (["a"] if end in ("returned", "failed") else [])
+    assert list(again.notices.pending) == (["a"] if end in ("returned", "failed") else [])
     assert again.take(TOLD, False)[0] == {None: 202, "returned": 503, "failed": 500, "delivered": 200}[end]
-    again.told_of(list(again.notices.lines))
+    again.told_of(list(again.notices.pending))
     ends = sum(END + len(name) for name in again.ends)
     assert not again.owed and again.bytes == ends + sum(msg.size for msg in again.held.values())
     compact_all(again.log)
@@ -184,13 +184,13 @@
     desk.end("a", "returned", 0, CloseCause.DEADLINE)
     desk.end("b", "failed", 0, CloseCause.DEADLINE)
     desk.write_late()
-    assert not desk.notices.lines
+    assert not desk.notices.pending
     now[0] += S
     desk.write_late()
-    assert list(desk.notices.lines) == ["a"]
+    assert list(desk.notices.pending) == ["a"]
     disk.room = None
     desk.write_late()
-    assert list(desk.notices.lines) == ["a", "b"] and not desk.withheld and not desk.unwritten
+    assert list(desk.notices.pending) == ["a", "b"] and not desk.withheld and not desk.unwritten
     again = Journal(disk.after(), 1_000_000)
     assert [told[0] for kind, told, _ in again.read() if kind == OWED] == ["a", "b"]
 
@@ -203,7 +203,7 @@
     disk.room = disk.used()
     now[0] += TOLD["left"] - 10 * MS
     desk.end("a", "returned", 0, CloseCause.DEADLINE)
-    assert list(desk.notices.lines) == ["a"] and desk.unwritten
+    assert list(desk.notices.pending) == ["a"] and desk.unwritten
 
 
 @pytest.mark.parametrize("last_byte", [True, False])
