Deadlines count from a request's last byte, not from when the relay came to read it

Cause: Desk.take counted from its own reading and allowed for a process that stood still for over 50 ms at once only; a request that waits for many short turns of the event loop, as in a crowd of new connections, was not seen.

--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -84,7 +84,8 @@
         if name in self.ends:
             return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
         now = self.clock()
-        deadline = now + told["left"] - self.unread_for()
+        unread = max(unread, self.unread_for())     # the system may not tell the first
+        deadline = now + told["left"] - unread
         msg = Held(name, told["dst"], told["lane"], deadline, bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
         msg.unread = unread
--- a/courseroute/town/shims/sitecustomize.py
+++ b/courseroute/town/shims/sitecustomize.py
@@ -3,7 +3,8 @@
 WALL_CLOCK_STEP_S steps its wall clock by so many seconds; the monotonic clock runs on. SIGNAL_AT_IMPORT, as
 `15 h11`, sends it that signal when it first imports that module. SYSTEM_CALL_FAULTS, as `7 0.01`, has that
 share of its calls on TCP connections and files fail, come short, or be held up for up to 0.15 s, drawn from
-that seed.
+that seed. SLOW_CALLS, as `accept 0.04`, makes each call of that name on a TCP socket take so many seconds
+more.
 """
 
 import errno
@@ -97,6 +98,17 @@
         self.wrap(os, "fdatasync")
 
 
+def slow_down(name, seconds):
+    call = getattr(socket.socket, name)
+
+    def slow(sock, *args):
+        if is_struck(sock):
+            time.sleep(seconds)
+        return call(sock, *args)
+
+    setattr(socket.socket, name, slow)
+
+
 def is_struck(target):
     """Not the log, nor the pair of sockets by which trio wakes its own loop."""
     return target.family == socket.AF_INET if isinstance(target, socket.socket) else target > 2
@@ -114,3 +126,7 @@
 
 if told := os.environ.get("SYSTEM_CALL_FAULTS"):
     SystemCallFaults(*told.split()).install()
+
+if told := os.environ.get("SLOW_CALLS"):
+    name, seconds = told.split()
+    slow_down(name, float(seconds))
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -54,6 +54,28 @@
     assert ended_at(town) <= deadline + END_WITHIN_S
 
 
+# Guards against a deadline that is counted from when the relay came to read a request, not from when it came.
+def test_a_request_that_lay_unread_in_its_socket_ends_before_its_deadline(town):
+    town.end()
+    town.start(slow_calls="accept 0.045")
+    ended = {}
+
+    def hand_in(name):
+        begun = time.monotonic()
+        if town.hand_in(name, left="600m") == 202:
+            until(lambda: name in [notice["id"] for notice in town.notices])
+            ended[name] = time.monotonic() - begun
+
+    clients = [threading.Thread(target=hand_in, args=(f"m{number}",)) for number in range(8)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    unread = [event["unread_ms"] for event in town.events() if event["event"] == "message closed"]
+    assert max(unread) > 200 and len(ended) == len(unread)
+    assert max(ended.values()) < 0.6
+
+
 # Guards against notices that wait behind a call to the platform which gets no answer.
 @pytest.mark.parametrize("silent", [1, 2])
 def test_a_message_ends_within_its_time_though_calls_to_the_platform_get_no_answer(town, silent):
