--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -58,7 +58,7 @@
         self.learned = None                 # the file of what the module knows of the hosts
         self.bytes = 0
         self.deadlines = {}                 # of messages whose notices are owed, those of this life
-        self.withheld = {}                  # ends not told yet, as they are not written: name -> deadline
+        self.withheld = {}                  # ends not told yet, as they are not written: name -> answer_by
         self.unwritten = {}                 # name -> kind of the end's record that is still to be written
         self.full = None
         self.figures = Figures()
@@ -184,15 +184,15 @@
             self.fault(cause)
             return False
 
-    def is_last_call(self, deadline):
+    def is_last_call(self, answer_by):
         """Whether an end that is not written is told all the same: it is due, and a next life, which does not
         know it, would send the message no more."""
-        return self.clock() >= deadline - self.house["sweep"]
+        return self.clock() >= answer_by - self.house["sweep"]
 
     def write_late(self):
         """Ends that could not be written when they came: without them a next life would send once more."""
-        for name, deadline in list(self.withheld.items()):
-            if self.is_last_call(deadline):
+        for name, due in list(self.withheld.items()):
+            if self.is_last_call(due):
                 self.tell_platform(name)
         for name, kind in list(self.unwritten.items()):
             parts = self.live_records(name) if kind == records.OWED else [
@@ -295,8 +295,8 @@
         self.deadlines[name] = msg.deadline
         self.count(NOTICE + len(name))
         self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
-        self.withheld[name] = msg.deadline
-        if self.note(record(records.OWED, [name, state, after])) or self.is_last_call(msg.deadline):
+        self.withheld[name] = msg.answer_by
+        if self.note(record(records.OWED, [name, state, after])) or self.is_last_call(msg.answer_by):
             self.tell_platform(name)
 
     def tell_platform(self, name):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -206,6 +206,17 @@
     assert list(desk.notices.pending) == ["a"] and desk.unwritten
 
 
+# Guards against the same where the end comes ahead of the deadline by the final answer's reserve.
+def test_an_end_that_cannot_be_written_is_told_as_its_final_answer_is_due():
+    disk, now = FaultyDisk(), [5 * MS]
+    desk = desk_on(disk, now)
+    assert desk.take(TOLD | {"left": 4 * S}, False) == (202, 0)
+    disk.room = disk.used()
+    now[0] = desk.held["a"].answer_by - 10 * MS
+    desk.end("a", "returned", 0, CloseCause.DEADLINE)
+    assert list(desk.notices.pending) == ["a"] and desk.unwritten
+
+
 @pytest.mark.parametrize("last_byte", [True, False])
 def test_a_connection_given_up_with_its_request_just_read_is_answered(last_byte):
     """A task that has read yields before it goes on: others may then find its connection silent."""
