Calls to the platform that get no answer make room for other notices

Now the oldest call makes room where all connections are in use, 0.3 s after it was sent, or after 1.2 s where its connection does not come up; eight connections.

--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -5,6 +5,8 @@
 twice does no harm, one that waits for a call that is lost comes behind its time.
 """
 
+import math
+
 import orjson
 import trio
 
@@ -12,9 +14,12 @@
 from courseroute.wire.link import LOST, Line
 from courseroute.wire.words import UNITS
 
-CONNECTIONS = 6
+CONNECTIONS = 8
 CALL_AGAIN_AFTER_S, LONGEST_CALL_AGAIN_AFTER_S = 0.1, 0.4  # it doubles with each call
 ANSWER_IS_CHECKED_S = 0.2  # an answer may still turn out to be another call's
+# Where all connections are in use, the oldest call makes room once it is out for so long: one that was sent,
+# else one whose connection does not come up (a first packet that is lost is sent again after a second).
+SENT_MAKES_ROOM_AFTER_S, DIALLED_MAKES_ROOM_AFTER_S = 0.3, 1.2
 
 
 class PendingNotice:
@@ -31,6 +36,19 @@
         self.due, self.calls = now + wait, self.calls + 1
 
 
+class NoticeCall:
+    """A call that is out; `begun` is trio's time, in seconds."""
+
+    __slots__ = ("line", "names", "begun", "scope")
+
+    def __init__(self, line, names, begun):
+        self.line, self.names, self.begun, self.scope = line, names, begun, trio.CancelScope()
+
+    def makes_room_at(self):
+        is_dialling = self.line.link is None
+        return self.begun + (DIALLED_MAKES_ROOM_AFTER_S if is_dialling else SENT_MAKES_ROOM_AFTER_S)
+
+
 class Notices:
     """Each notice ends in one `desk.told_of`. At most CONNECTIONS calls are out at once."""
 
@@ -39,6 +57,7 @@
         # Those that no call uses, the one used last at the end.
         self.free = [Line(place, house["head"], house["body"]) for _ in range(CONNECTIONS)]
         self.lines = tuple(self.free)
+        self.calls = []  # out, the oldest first
         self.pending = {}  # message's name -> PendingNotice, the oldest first
         self.news = trio.Event()  # set where there may be something to do
         self.failing = False
@@ -59,14 +78,27 @@
         async with trio.open_nursery() as nursery:
             while True:
                 now = trio.current_time()
-                names = self.batch(now) if self.free else []
-                if not names:
-                    await self.wait()
+                names = self.batch(now)
+                if names and self.free:
+                    nursery.start_soon(self.make, self.begin_call(names, now))
                     continue
-                line = self.take_line(names)
-                for name in names:
-                    self.pending[name].called(now)
-                nursery.start_soon(self.call, line, names)
+                if names:
+                    self.make_room(now)
+                await self.wait(some_are_due=bool(names))
+
+    def begin_call(self, names, now):
+        call = NoticeCall(self.take_line(names), names, now)
+        self.calls.append(call)
+        for name in names:
+            self.pending[name].called(now)
+        return call
+
+    def make_room(self, now):
+        """Gives up one call, the oldest of those that may be, for the notices that are due."""
+        for call in self.calls:
+            if call.makes_room_at() <= now:
+                call.scope.cancel()
+                return
 
     def batch(self, now):
         """The names of those that are due, the oldest first, as many as a body holds."""
@@ -92,15 +124,24 @@
             line.drop()
         return line
 
-    async def wait(self):
-        """Until something is news, or the next notice is due."""
+    async def wait(self, some_are_due):
+        """Until something is news or the next notice is due; until a call makes room for some that are."""
         self.news = trio.Event()
-        dues = [notice.due for notice in self.pending.values()] if self.free else []
-        with trio.move_on_at(min(dues, default=float("inf"))):
+        if some_are_due:
+            times = [call.makes_room_at() for call in self.calls if not call.scope.cancel_called]
+        else:
+            times = [notice.due for notice in self.pending.values()]
+        with trio.move_on_at(min(times, default=math.inf)):
             await self.news.wait()
 
-    async def call(self, line, names):
-        status = await self.post(line, names)
+    async def make(self, call):
+        line, names, status = call.line, call.names, None
+        with call.scope:
+            status = await self.post(line, names)
+        if call.scope.cancelled_caught:
+            line.drop()
+            self.log("notice call failed", error="given up for others", notices=len(names))
+        self.calls.remove(call)
         self.free.append(line)
         taken = [name for name in names if name in self.pending]
         if status in (204, 400):  # one that can't be read will not be read the next time
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -93,3 +93,14 @@
     assert until(lambda: len(town.notices) == 2)
     closed = {event["id"]: event["at"] for event in town.events() if event["event"] == "message closed"}
     assert time.time() * 1000 - max(closed.values()) < 200
+
+
+# The same where so many calls are out without an answer that no connection is left.
+def test_calls_to_the_platform_that_get_no_answer_make_room_for_others(town):
+    town.platform_proxy.silent_connections = 8
+    begun, count = time.monotonic(), 5
+    for number in range(count):
+        assert town.hand_in(f"m{number}", left=f"{TIME_LEFT_S * 1000:.0f}m") == 202
+        time.sleep(0.06)
+    assert until(lambda: len(town.notices) == count, within=TIME_LEFT_S + 2)
+    assert time.monotonic() <= begun + TIME_LEFT_S + END_WITHIN_S
