--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -39,10 +39,11 @@
 class NoticeCall:
     """A call that is out; `begun` is trio's time, in seconds."""
 
-    __slots__ = ("line", "names", "begun", "scope")
+    __slots__ = ("line", "names", "body", "begun", "scope")
 
-    def __init__(self, line, names, begun):
-        self.line, self.names, self.begun, self.scope = line, names, begun, trio.CancelScope()
+    def __init__(self, line, names, body, begun):
+        self.line, self.names, self.body, self.begun = line, names, body, begun
+        self.scope = trio.CancelScope()
 
     def makes_room_at(self):
         is_dialling = self.line.link is None
@@ -87,7 +88,8 @@
                 await self.wait(some_are_due=bool(names))
 
     def begin_call(self, names, now):
-        call = NoticeCall(self.take_line(names), names, now)
+        body = b"".join(self.pending[name].line for name in names)
+        call = NoticeCall(self.take_line(names), names, body, now)
         self.calls.append(call)
         for name in names:
             self.pending[name].called(now)
@@ -137,7 +139,7 @@
     async def make(self, call):
         line, names, status = call.line, call.names, None
         with call.scope:
-            status = await self.post(line, names)
+            status = await self.post(line, names, call.body)
         if call.scope.cancelled_caught:
             line.drop()
             self.log("notice call failed", error="given up for others", notices=len(names))
@@ -159,10 +161,9 @@
         for name in names:
             self.pending[name].due = min(self.pending[name].due, due)
 
-    async def post(self, line, names):
+    async def post(self, line, names, body):
         """The answer's status; None where none came, or it was not surely the answer to this call."""
         begun, status = trio.current_time(), None
-        body = b"".join(self.pending[name].line for name in names)
         try:
             answered, _ = await line.exchange(
                 self.house["notice_within"], "POST", "/v1/notices", [("Host", "platform")], body
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -282,3 +282,16 @@
     _, _, entries, _ = roster_of(Roster(str(tmp_path), 4000).read(), False)
     assert [(name, state) for name, state, *_ in entries] == [("h1", "draining")]
     assert not roster.write()  # nothing is left for later
+
+
+# Guards against a relay that ends because another call told its notices before a call's task began.
+def test_a_notice_that_was_taken_before_another_call_with_it_began_is_sent_all_the_same():
+    async def play():
+        notices = Notices(None, HOUSE, ("127.0.0.1", 1), lambda event, **told: None)
+        notices.owe("a", "failed", 0)
+        call = notices.begin_call(["a"], trio.current_time())
+        del notices.pending["a"]
+        await notices.make(call)
+        assert not notices.pending and call.line in notices.free
+
+    trio.run(play)
