Each call to the platform carries all notices that are owed

Calls with a notice now follow each other by 0.1 s four times, then by 0.4 s (0.1, 0.2, 0.4 before), and a call carries what other calls that are still out carry too. Test: the second call had the new notice alone before.

--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -1,7 +1,7 @@
 """Notices to the platform: final statuses owed, told in batches until they are taken.
 
 A call may get no answer, or its connection may come up late. The notices of a call that is out for long are
-told once more on another connection, ever later, without an end to the first call: a notice that is taken
+told once more on another connection, without an end to the first call: a notice that is taken
 twice does no harm, one that waits for a call that is lost comes behind its time.
 """
 
@@ -15,7 +15,8 @@
 from courseroute.wire.words import UNITS
 
 CONNECTIONS = 8
-CALL_AGAIN_AFTER_S, LONGEST_CALL_AGAIN_AFTER_S = 0.1, 0.4  # it doubles with each call
+CALL_AGAIN_AFTER_S, SOON_CALLS = 0.1, 4  # the first few calls with a notice follow each other so soon,
+CALL_AGAIN_LATER_AFTER_S = 0.4  # those behind them like this
 ANSWER_IS_CHECKED_S = 0.2  # an answer may still turn out to be another call's
 # Where all connections are in use, the oldest call makes room once it is out for so long: one that was sent,
 # else one whose connection does not come up (a first packet that is lost is sent again after a second).
@@ -31,9 +32,9 @@
         self.line, self.due, self.calls = line, due, 0
 
     def called(self, now):
-        """A call with it leaves."""
-        wait = min(CALL_AGAIN_AFTER_S * 2**self.calls, LONGEST_CALL_AGAIN_AFTER_S)
-        self.due, self.calls = now + wait, self.calls + 1
+        """A call leaves because it is due."""
+        self.calls += 1
+        self.due = now + (CALL_AGAIN_AFTER_S if self.calls < SOON_CALLS else CALL_AGAIN_LATER_AFTER_S)
 
 
 class NoticeCall:
@@ -91,8 +92,9 @@
         body = b"".join(self.pending[name].line for name in names)
         call = NoticeCall(self.take_line(names), names, body, now)
         self.calls.append(call)
-        for name in names:
-            self.pending[name].called(now)
+        for notice in (self.pending[name] for name in names):
+            if notice.due <= now:
+                notice.called(now)
         return call
 
     def make_room(self, now):
@@ -103,11 +105,13 @@
                 return
 
     def batch(self, now):
-        """The names of those that are due, the oldest first, as many as a body holds."""
+        """The names that the next call tells, none while none is due: those that are due, then the others,
+        whose calls may get no answer; as many as a body holds."""
+        ordered = sorted(self.pending.items(), key=lambda item: item[1].due > now)
+        if not ordered or ordered[0][1].due > now:
+            return []
         names, size = [], 0
-        for name, notice in self.pending.items():
-            if notice.due > now:
-                continue
+        for name, notice in ordered:
             size += len(notice.line)
             if size > self.house["body"]:
                 break
@@ -116,8 +120,8 @@
 
     def take_line(self, names):
         """A connection for a call: one in use and rested for a first call, else one that has to be dialled.
-        Notices that a call did not deliver are not trusted to another connection that stood idle."""
-        repeats = any(self.pending[name].calls for name in names)
+        A notice that a call did not deliver is not trusted to another connection that stood idle."""
+        repeats = self.pending[names[0]].calls > 0
         kept = [line for line in self.free if line.is_rested()]
         unused = [line for line in self.free if line.link is None]
         line = kept[-1] if kept and not repeats else (unused or self.free)[0]
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -295,3 +295,16 @@
         assert not notices.pending and call.line in notices.free
 
     trio.run(play)
+
+
+# Guards against a notice that waits for its own next call while calls for others leave and are answered.
+def test_a_call_to_the_platform_carries_the_notices_of_calls_that_are_still_out():
+    async def play():
+        notices = Notices(None, HOUSE, ("127.0.0.1", 1), lambda event, **told: None)
+        notices.owe("a", "failed", 0)
+        notices.begin_call(["a"], trio.current_time())
+        assert not notices.batch(trio.current_time())
+        notices.owe("b", "failed", 0)
+        assert notices.batch(trio.current_time()) == ["b", "a"]
+
+    trio.run(play)
