An accept that fails for a moment is tried again after 50 ms, not after half a second

Clients wait 0.4 s for an answer; one accept that failed for want of descriptors or memory kept all new connections waiting for 0.5 s, and each failure was a line in the log. Now 50 ms, and one line until an accept succeeds again. The test failed before (TooSlowError).

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -10,6 +10,9 @@
 from courseroute.wire.http import Door, Refused
 from courseroute.wire.unread import since_last_byte
 
+NO_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
+ACCEPT_AGAIN_AFTER_S = 0.05
+
 
 class Guest:
     """One connection, and where it stands."""
@@ -35,7 +38,7 @@
         self.open = set()
         self.silent, self.idle = {}, {}  # guests who never asked, those between requests
         self.closing = False
-        self.full = False
+        self.full = self.lacks_resources = False
 
     async def serve(self):
         async with trio.open_nursery() as nursery:
@@ -43,14 +46,20 @@
                 try:
                     sock, _ = await self.listener.accept()
                 except OSError as cause:
-                    if cause.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                        self.log("no descriptors for a client", error=str(cause))
-                        await trio.sleep(self.house["sweep"] / 1e9)
+                    if cause.errno in NO_RESOURCES:
+                        await self.wait_for_resources(cause)
                     continue
                 except trio.ClosedResourceError:
                     return
+                self.lacks_resources = False
                 nursery.start_soon(self.connection, sock)
 
+    async def wait_for_resources(self, cause):
+        if not self.lacks_resources:
+            self.lacks_resources = True
+            self.log("no descriptors for a client", error=str(cause))
+        await trio.sleep(ACCEPT_AGAIN_AFTER_S)
+
     async def connection(self, sock):
         guest = Guest(sock, Door(self.house["head"], self.house["body"]))
         try:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,4 +1,5 @@
 """What is kept: the log's records and limits, the pool's connections, the desk's guard."""
+import errno
 import socket
 
 import pytest
@@ -308,3 +309,36 @@
         assert notices.batch(trio.current_time()) == ["b", "a"]
 
     trio.run(play)
+
+
+# Guards against clients that wait longer than their 0.4 s because descriptors were missing for a moment.
+def test_an_accept_that_fails_for_a_moment_costs_new_connections_little_and_is_logged_once():
+    said = []
+
+    class Listener:
+        def __init__(self, *accepts):
+            self.accepts = list(accepts)
+
+        async def accept(self):
+            await trio.lowlevel.checkpoint()
+            accepted = self.accepts.pop(0)
+            if isinstance(accepted, Exception):
+                raise accepted
+            return accepted, None
+
+    class Answers:
+        def answer(self, request, gone, unread):
+            return 200, (), b""
+
+    async def play():
+        ours, theirs = trio.socket.socketpair()
+        await theirs.send(b"GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+        lack = OSError(errno.ENFILE, "Too many open files in system")
+        listener = Listener(lack, lack, ours, trio.ClosedResourceError())
+        clients = Clients(Answers(), HOUSE, listener, 9, 1, 9999, lambda event, **told: said.append(event))
+        with trio.fail_after(0.4):
+            await clients.serve()
+        assert (await theirs.recv(99)).startswith(b"HTTP/1.1 200 ")
+
+    trio.run(play)
+    assert said == ["no descriptors for a client"]
