The judge allows a relay that was only held up 0.3 s behind it, not a restart's 1.5 s

A pause that a SIGTERM falls into counts as the restart's from then on. Both are ledger tests; the first was let pass before.

--- a/courseroute/town/judge.py
+++ b/courseroute/town/judge.py
@@ -67,6 +67,20 @@
         return self.status not in NEVER_RAN
 
 
+class Outage:
+    """A time in which a relay was down for a restart, or stood still; `back` is None until it is over."""
+
+    __slots__ = ("begin", "back", "is_restart")
+
+    def __init__(self, begin):
+        self.begin, self.back, self.is_restart = begin, None, False
+
+    @property
+    def allowed(self):
+        """How long behind it an end may come that was due meanwhile."""
+        return AFTER_READY if self.is_restart else END_WITHIN
+
+
 class Message:
     """One id: handed in once, to one relay."""
 
@@ -126,7 +140,7 @@
         self.apart_dst = set()  # numbers of destinations whose hosts are routes of their own
         self.down, self.notices_down, self.notices_up = {}, None, 0
         self.directory_outages = []  # [from, until or None]
-        self.outs = {}  # relay -> [(from, ready again or None)]
+        self.outs = {}  # relay -> its Outages
         self.turns = {}  # (relay, key) -> messages in the order taken
         self.rested = {}  # (relay, key) -> (whose leg ended unknown, end of the rest)
         self.areas = {host.name: host.area for place in destinations(day) for host in place.hosts}
@@ -401,10 +415,15 @@
     def on_relay(self, row):
         relay, what = row["relay"], row["now"]
         outs = self.outs.setdefault(relay, [])
-        if what in ("term", "kill", "paused") and not (outs and outs[-1][1] is None):
-            outs.append([row["at"], None])
-        elif what in ("ready", "goes-on") and outs and outs[-1][1] is None:
-            outs[-1][1] = row["at"]
+        out = outs[-1] if outs and outs[-1].back is None else None
+        if what in ("term", "kill"):
+            if out is None:
+                outs.append(out := Outage(row["at"]))
+            out.is_restart = True
+        elif what == "paused" and out is None:
+            outs.append(Outage(row["at"]))
+        elif out and (what == "ready" or what == "goes-on" and not out.is_restart):
+            out.back = row["at"]
         if what in ("kill", "ready"):
             for turn in [turn for turn in self.turns if turn[0] == relay]:
                 del self.turns[turn]
@@ -434,7 +453,7 @@
     def was_out(self, relay, since, until):
         """Whether the relay was down, or stood still, at some time between."""
         return any(
-            begin <= until and (back is None or back >= since) for begin, back in self.outs.get(relay, ())
+            out.begin <= until and (out.back is None or out.back >= since) for out in self.outs.get(relay, ())
         )
 
     # What is judged later than it is seen.
@@ -464,12 +483,13 @@
             )
 
     def excuse(self, relay, at):
-        """When an end that is due now is overdue: no sooner than 1.5 s after its relay is back."""
-        for begin, back in self.outs.get(relay, ()):
-            if begin <= at and back is None:
+        """When an end that is due now is overdue: no sooner than 1.5 s after its relay is back from a
+        restart, 0.3 s where it was only held up."""
+        for out in self.outs.get(relay, ()):
+            if out.begin <= at and out.back is None:
                 return None if at >= self.now else at + S // 10
-            if back is not None and begin <= at < back + AFTER_READY + WAY:
-                at = back + AFTER_READY + WAY
+            if out.back is not None and out.begin <= at < out.back + out.allowed + WAY:
+                at = out.back + out.allowed + WAY
         if self.notices_down is not None:
             return None if at >= self.now else at + S // 10
         return self.notices_up + S if at < self.notices_up + S and self.notices_up else at
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -87,6 +87,10 @@
     (lambda: start().relay(8000, "kill").relay(8700, "ready").later(10249), []),
     (lambda: start().relay(8000, "kill").relay(8700, "ready").later(10251), [ONE]),
     (lambda: start().relay(7000, "paused").relay(9000, "goes-on").notice(9100).later(12000), []),
+    (lambda: start().relay(7000, "paused").relay(9000, "goes-on").notice(9400).later(12000),
+     [ONE]),
+    (lambda: start().relay(7000, "paused").relay(7500, "term").relay(9000, "goes-on").relay(9500, "ready")
+     .notice(10900).later(12000), []),
     (lambda: start().relay(100, "kill").relay(900, "ready").later(8351), [ONE]),
     (lambda: start().relay(100, "kill").relay(100, "wiped").relay(900, "ready").later(9000), []),
     (lambda: start().row("platform", 8000, now="notices-down").row("platform", 9000, now="notices-up")
