Relays of different test processes never share an address; the old known red is mended

KNOWN-RED.txt's entry, test_a_killed_relay_still_owes_each_message_its_end: its host got m3, m4 ... of another test. The lines to blame are Town.__init__'s.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -79,6 +79,13 @@
                "stop-sending-within": 1_000_000, "fall": 1_500_000}}
 
 
+def address_of_worker():
+    """A loopback address that no other test process uses: a relay's port is free while the relay is down, and
+    another test's relay on it would get this one's messages."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    return f"127.40.{worker}.1"
+
+
 class Town(ScriptedTown):
     """A scripted town with one relay beside it, started as the deploy file has it."""
 
@@ -86,15 +93,15 @@
         super().__init__(hosts)
         self.folder, self.relay, self.known = folder, None, known
         with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+            free.bind((address_of_worker(), 0))
+            self.relay_place = free.getsockname()
         (folder / "state").mkdir()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3} | (limits or {})
         self.settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {"call-slots": slots}}
 
     def configure(self):
         known = {"index": 1, "snapshot": True, "endpoints": self.entries()} if self.known else None
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+        config = {"name": "n0", "listen": "{}:{}".format(*self.relay_place), "seed": "8c1f30d27a5be964",
                   "known": known, "discovery": "{}:{}".format(*self.discovery),
                   "settings": self.settings, "limits": self.limits}
         (self.folder / "config.json").write_text(json.dumps(config))
@@ -114,7 +121,7 @@
 
     def ask(self, method, path, headers=None, body=b"", within=2):
         """(status, headers) of the answer; (0, {}) where the connection gave none."""
-        conn = http.client.HTTPConnection("127.0.0.1", self.port, timeout=within)
+        conn = http.client.HTTPConnection(*self.relay_place, timeout=within)
         try:
             conn.request(method, path, body, headers or {})
             answer = conn.getresponse()
@@ -131,7 +138,7 @@
 
     def raw(self, data, within=3.0):
         """Sends bytes as they are; what came back until the end, or until time is up."""
-        with socket.create_connection(("127.0.0.1", self.port), timeout=within) as sock:
+        with socket.create_connection(self.relay_place, timeout=within) as sock:
             got = b""
             try:
                 for part in data if isinstance(data, list) else [data]:
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -22,7 +22,7 @@
     platform_proxy = Proxy(town.discovery)
     town.platform_proxy, town.discovery = platform_proxy, platform_proxy.address
     town.start()
-    town.client_proxy = Proxy(("127.0.0.1", town.port))
+    town.client_proxy = Proxy(town.relay_place)
     yield town
     town.close()
     town.client_proxy.close()
@@ -33,10 +33,10 @@
     """Hands a message in over a way on which it takes `unseen_s`; (its deadline, on the monotonic clock, the
     answer)."""
     town.client_proxy.late_s = unseen_s
-    town.port, relay_port = town.client_proxy.address[1], town.port
+    town.relay_place, direct = town.client_proxy.address, town.relay_place
     begun = time.monotonic()
     status = town.hand_in("a", left=f"{TIME_LEFT_S * 1000:.0f}m")
-    town.port = relay_port
+    town.relay_place = direct
     return begun + TIME_LEFT_S, status
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from helpers import address_of_worker
 from known_red import KnownRed, parse_entry, read_known_red
 
 ROOT = Path(__file__).parent.parent
@@ -25,3 +26,12 @@
 def test_an_entry_has_four_fields():
     entry = parse_entry("t.py::t | pytest t.py::t (no seed) | sent twice | 27")
     assert entry == KnownRed("t.py::t", "pytest t.py::t (no seed)", "sent twice", "27")
+
+
+# Guards against a message that reaches another test process's relay, which took the port of one that is down.
+def test_relays_of_two_test_processes_never_share_an_address(monkeypatch):
+    addresses = set()
+    for worker in ("gw0", "gw1", "gw11"):
+        monkeypatch.setenv("PYTEST_XDIST_WORKER", worker)
+        addresses.add(address_of_worker())
+    assert len(addresses) == 3
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -141,7 +141,7 @@
     town.hand_in("a", "notice", left="20000m")
     town.hand_in("b", "once", left="20000m")
     assert until(lambda: len(town.calls) == 2)
-    kept = socket.create_connection(("127.0.0.1", town.port))
+    kept = socket.create_connection(town.relay_place)
     kept.sendall(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
     assert b"200" in kept.recv(1000)
     begun = time.time()
@@ -212,7 +212,7 @@
 
 def test_a_client_that_is_gone_before_its_answer_keeps_its_message(town):
     town.start()
-    with socket.create_connection(("127.0.0.1", town.port)) as sock:
+    with socket.create_connection(town.relay_place) as sock:
         sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
         sock.shutdown(socket.SHUT_WR)
         assert b" 503 " in sock.recv(1000)
@@ -225,7 +225,7 @@
     town.start()
     town.relay.send_signal(signal.SIGSTOP)
     for _ in range(5):
-        with socket.create_connection(("127.0.0.1", town.port)) as sock:
+        with socket.create_connection(town.relay_place) as sock:
             sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nok")
     town.relay.send_signal(signal.SIGCONT)
     assert town.hand_in("after") == 202 and until(lambda: town.calls)
@@ -268,7 +268,7 @@
     try:
         town.start()
         for _ in range(80):
-            sock = socket.create_connection(("127.0.0.1", town.port), timeout=3)
+            sock = socket.create_connection(town.relay_place, timeout=3)
             sock.sendall(READY + b"POST /notice HTTP/1.1\r\nHost:")
             socks.append(sock)
         assert until(lambda: any(event["event"] == "full of connections" for event in town.events()))
@@ -286,7 +286,7 @@
     try:
         town.start()
         for _ in range(20):
-            sock = socket.create_connection(("127.0.0.1", town.port), timeout=3)
+            sock = socket.create_connection(town.relay_place, timeout=3)
             sock.sendall(HEAD + b"Content-Length: 60000\r\n\r\n" + b"x" * 50000)
             socks.append(sock)
         assert any(b" 503 " in sock.recv(1000) for sock in socks[10:])
@@ -403,18 +403,18 @@
 @pytest.mark.parametrize("said", [b"", b"POST /not", HEAD + b"Content-Length: 9\r\n\r\nab"])
 def test_a_crowd_that_never_asks_is_closed_and_costs_no_client_its_connection(tmp_path, said):
     town = Town(tmp_path, {"sockets": 60})
-    kept = http.client.HTTPConnection("127.0.0.1", town.port, timeout=2)
+    kept = http.client.HTTPConnection(*town.relay_place, timeout=2)
     try:
         town.start()
         for _ in range(2):
             kept.request("GET", "/ready")
             assert kept.getresponse().read() == b""
             sock, crowd = kept.sock, []
-            with socket.create_connection(("127.0.0.1", town.port)) as reset:      # it must leave no trace
+            with socket.create_connection(town.relay_place) as reset:      # it must leave no trace
                 reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 time.sleep(0.1)
             for _ in range(60):
-                crowd.append(socket.create_connection(("127.0.0.1", town.port), timeout=3))
+                crowd.append(socket.create_connection(town.relay_place, timeout=3))
                 crowd[-1].sendall(said)
         assert kept.sock is sock and town.hand_in("a") == 202
         begun = time.time()
