Messages with too little time left for a final answer in time are not taken on

The reserve was a quarter of the time left, which is least where it is needed as much as ever. Now it is at least 0.35 s (0.4 s on the way, 0.15 s held up, 0.15 s for a call made again, less the 0.35 s of the rule), but at most an eighth of the time that the settings give the message's lane, so that lanes with short deadlines are served. What comes with less is answered 503 at once.

--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -21,7 +21,7 @@
 
 class Held:
     __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "at",
-                 "promised", "legs", "ending", "size", "unread")
+                 "promised", "legs", "ending", "size", "unread", "answer_by")
 
     def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again, at=0):
         self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
@@ -29,13 +29,9 @@
         self.at = at        # taken on: the order among those of one key
         self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
         self.size = 0       # in the log, with room for all its legs
+        self.answer_by = deadline   # when its final answer has to be begun, to arrive before the deadline
         self.unread = 0     # how long its request had lain unread, in nanoseconds; not kept in the log
 
-    @property
-    def answer_by(self):
-        """When its final answer has to be begun, for the answer to arrive before the deadline."""
-        return answer_by(self.at, self.deadline)
-
     def record(self):
         return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
                                       self.customer, self.again, self.at], self.body)
@@ -88,7 +84,7 @@
         deadline = now + told["left"] - unread
         msg = Held(name, told["dst"], told["lane"], deadline, bytes(told["body"]),
                    told["mark"], told["key"] or None, told["customer"], told["again"], now)
-        msg.unread = unread
+        msg.unread, msg.answer_by = unread, self.answer_by(msg)
         self.figures.longest("request_unread_ms", unread)
         if cause := self.why_refused(msg, gone):
             self.figures.count("closed", cause)
@@ -110,6 +106,9 @@
         state, after = msg.ending
         return {"delivered": 202, "returned": 503}.get(state, 500), after
 
+    def answer_by(self, msg):
+        return answer_by(msg.at, msg.deadline, self.terms["lanes"].get(msg.lane, {}).get("deadline"))
+
     def why_refused(self, msg, gone):
         """The CloseCause that turns a message away before the decisions are asked, else None."""
         if gone:
@@ -381,7 +380,7 @@
             self.remember(name, state)
         for name, kept in replay.held.items():
             msg = self.held[name] = Held(name, *kept.told[1:4], kept.body, *kept.told[4:])
-            msg.promised, msg.legs = True, kept.legs
+            msg.promised, msg.legs, msg.answer_by = True, kept.legs, self.answer_by(msg)
             if not same_clock:
                 msg.legs = [[host, 0, ending] for host, _, ending in msg.legs]
             self.count(self.measure(msg))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -5,6 +5,7 @@
 from helpers import MS, Relay, S, named
 
 from courseroute.decide import BOUND, CUT, LEAVE
+from courseroute.decisions.final_answer import answer_by
 from courseroute.model.causes import HoldCause
 from courseroute.model.types import Leg
 
@@ -620,3 +621,12 @@
     relay.tell("recall", told, relay.now - age)
     assert route.headroom == pytest.approx(headroom) and route.wait == wait
     assert (route.refused is not None, relay.relay.hosts["a"].trial) == (bound, aside)
+
+
+# Guards against a message taken on with so little time left that its final answer can't come in time.
+@pytest.mark.parametrize("left, lane_time, reserve", [
+    (16 * S, 16 * S, 500 * MS), (1600 * MS, 16 * S, 400 * MS), (800 * MS, 16 * S, 350 * MS),
+    (200 * MS, 16 * S, 350 * MS), (200 * MS, 800 * MS, 100 * MS), (800 * MS, 800 * MS, 200 * MS),
+    (200 * MS, None, 350 * MS), (-5 * MS, 16 * S, 350 * MS)])
+def test_the_reserve_for_a_final_answer_goes_by_the_time_that_a_message_has(left, lane_time, reserve):
+    assert answer_by(7 * S, 7 * S + left, lane_time) == 7 * S + left - reserve
