--- a/courseroute/town/soak.py
+++ b/courseroute/town/soak.py
@@ -31,6 +31,7 @@
     folder: Path
     relay: str | None = None  # another relay's command line, {seed} in it stands for the seed
     within_s: float = 600.0  # a day that takes longer is ended and counts as failed
+    program: tuple[str, ...] = (sys.executable, "-m", "courseroute")  # that plays a day
 
 
 class Played(msgspec.Struct, frozen=True):
@@ -88,14 +89,13 @@
     arguments = ["town", "run", day, "--seed", str(seed)]
     if plan.relay:
         arguments += ["--relay", plan.relay.replace("{seed}", str(seed))]
-    command = [sys.executable, "-m", "courseroute", *arguments, "--json", "--folder", str(folder)]
+    command = [*plan.program, *arguments, "--json", "--folder", str(folder)]
     ended = None
     with trio.move_on_after(plan.within_s):
         ended = await trio.run_process(
             command, capture_stdout=True, capture_stderr=True, check=False, stdin=subprocess.DEVNULL
         )
-    outcome = OUTCOME_OF_EXIT.get(ended and ended.returncode, FAILED)
-    figures = orjson.loads(ended.stdout) if outcome != FAILED else {"broken": []}
+    outcome, figures = result_of(ended)
     if outcome == FAILED and ended:
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "errors").write_bytes(ended.stderr)
@@ -112,6 +112,15 @@
     )
 
 
+def result_of(ended):
+    """(outcome, figures) of a process that played a day; one that says nothing, or takes too long, failed."""
+    outcome = OUTCOME_OF_EXIT.get(ended and ended.returncode, FAILED)
+    try:
+        return outcome, orjson.loads(ended.stdout if outcome != FAILED else b"{}")
+    except orjson.JSONDecodeError:
+        return FAILED, {}
+
+
 def kinds_of(day, seed):
     """The kinds of fault that a day's file has with that seed."""
     return tuple(sorted({strike.kind for strike in strikes(load(day, seed=seed))}))
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -18,6 +18,7 @@
 from courseroute.town.relays import SHIMS
 from courseroute.town.report import figures
 from courseroute.town.script import Day, load
+from courseroute.town.soak import Plan, seeds_of, soak
 
 ROOT = Path(__file__).parent.parent
 HARD_CASES = 4
@@ -189,6 +190,7 @@
     (["config", "show", "relay.toml", "--json"], 0, '"memory_mb":192', ""),
     (["config", "check", "bad.toml"], 2, "", "listen: found nothing"),
     (["config", "schema"], 0, "lanes", ""), (["version", "--json"], 0, "msgspec", ""),
+    (["town", "soak", "examples/calm.toml", "--seeds", "9..1"], 2, "", "no range of seeds such as 1..50"),
     (["completion", "bash"], 0, "_COURSEROUTE_COMPLETE", ""), (["log", "show", "nowhere"], 2, "", "nowhere"),
     (["serve", "bad.toml"], 2, "", "bad.toml: listen: found nothing"),
 ])
@@ -235,20 +237,29 @@
     assert json.loads(run("journal", "dump", tmp_path / "fresh").stdout.splitlines()[0])["kind"] == "taken"
 
 
+PLAYED = """
+import pathlib, sys
+folder, seed = sys.argv[sys.argv.index("--folder") + 1], sys.argv[sys.argv.index("--seed") + 1]
+pathlib.Path(folder).mkdir(parents=True)
+if seed == "4":
+    sys.exit("no such thing")
+print('{"broken": [%s]}' % ('{"rule": "one final answer"}' if seed != "1" else ""))
+sys.exit({"1": 0, "2": 1, "3": 3}[seed])
+"""
+
+
 def test_a_soak_keeps_the_days_that_break_a_rule_and_says_how_to_play_them_again(tmp_path):
-    day, wrong = tmp_path / "day.toml", f"{sys.executable} {ROOT}/tests/wrong_relay.py loses"
-    day.write_text(f'base = "{ROOT}/examples/calm.toml"\nlasts = "1s"\n'
-                   '[[fault]]\nkind = "held-up"\nat = "0s"\nlasts = "1s"\nby = "1ms"\n'
-                   + "".join(f'[lanes.{lane}]\ndeadline = "1s"\n' for lane in ("notice", "order", "once")))
-    told = run("town", "soak", day, "--seeds", "1..2", "--relay", wrong,
-               "--folder", tmp_path / "kept", "--json")
-    summary = json.loads(told.stdout)
-    assert told.returncode == 1 and summary["outcomes"] == {"broken": 2}
-    assert set(summary["rules"]) == {"one final answer"} and summary["kinds"] == {"held-up": 2}
-    first = min(summary["unwell"], key=lambda played: played["seed"])
-    assert first["again"] == f"courseroute town run {day} --seed 1 --relay '{wrong}'"
-    assert (Path(first["folder"]) / "day" / "ledger.jsonl").exists()
-    assert run("town", "soak", day, "--seeds", "9..1").returncode == 2
+    """Played by a stand-in: seed 1 is well, 2 breaks a rule, 3 is void, 4 can't be played."""
+    day = str(ROOT / "examples" / "late-answers.toml")
+    plan = Plan(days=(day,), seeds=seeds_of("1..4"), jobs=2, folder=tmp_path, relay="other {seed}",
+                program=(sys.executable, "-c", PLAYED))
+    summary = trio.run(soak, plan)
+    assert summary.outcomes == {"kept": 1, "broken": 1, "void": 1, "failed": 1} and not summary.is_good()
+    assert summary.rules == {"one final answer": 1} and max(summary.kinds.values()) == 3
+    broken, failed = sorted(summary.unwell, key=lambda played: played.seed)
+    assert broken.again == f"courseroute town run {day} --seed 2 --relay 'other 2'"
+    assert {file.name for file in tmp_path.iterdir()} == {"late-answers-2", "late-answers-4"}
+    assert (Path(failed.folder) / "errors").read_text() == "no such thing\n"
 
 
 FAULTY = """
