--- a/courseroute/command/main.py
+++ b/courseroute/command/main.py
@@ -1,5 +1,6 @@
 """courseroute: one command, its sub-commands. Exit codes: 0 well, 1 a broken rule, 2 a bad file or call, 3 a
 town that ran late and so says nothing."""
+
 import os
 import shlex
 import shutil
@@ -41,15 +42,18 @@
 @click.option("--json", "as_json", is_flag=True)
 def version(as_json):
     """Print the version and what it runs on."""
-    told = {"courseroute": version_of("courseroute"), "python": sys.version.split()[0],
-            **{name: version_of(name) for name in ("trio", "h11", "orjson", "msgspec")}}
+    told = {
+        "courseroute": version_of("courseroute"),
+        "python": sys.version.split()[0],
+        **{name: version_of(name) for name in ("trio", "h11", "orjson", "msgspec")},
+    }
     click.echo(orjson.dumps(told) if as_json else "\n".join(" ".join(pair) for pair in told.items()))
 
 
 def version_of(name):
     try:
         return metadata.version(name)
-    except metadata.PackageNotFoundError:       # run from its folder, not installed
+    except metadata.PackageNotFoundError:  # run from its folder, not installed
         return "0.2.0" if name == "courseroute" else "missing"
 
 
@@ -59,6 +63,7 @@
     """Run one relay, set by the configuration FILE."""
     from courseroute.__main__ import start
     from courseroute.run.logbook import BOOK
+
     BOOK.structured = True
     os.environ["ROUTER_CONFIG"] = str(file)
     sys.exit(start())
@@ -69,6 +74,7 @@
 def completion(shell):
     """Print the completion script for SHELL; source it from your shell's start file."""
     from click.shell_completion import get_completion_class
+
     click.echo(get_completion_class(shell)(cli, {}, "courseroute", "_COURSEROUTE_COMPLETE").source())
 
 
@@ -100,8 +106,11 @@
 def everything(thing):
     """A Form as a plain map, defaults too; what was left out and has no default is absent."""
     if isinstance(thing, msgspec.Struct):
-        return {name: everything(value) for name, value in msgspec.structs.asdict(thing).items()
-                if value is not None}
+        return {
+            name: everything(value)
+            for name, value in msgspec.structs.asdict(thing).items()
+            if value is not None
+        }
     return {name: everything(value) for name, value in thing.items()} if isinstance(thing, dict) else thing
 
 
@@ -126,6 +135,7 @@
 def log_show(folder, records, as_json):
     """What FOLDER holds: messages, owed notices, recent ends. Reads only, also of a running relay."""
     from courseroute.journal import tools
+
     told = list(tools.rows(folder)) if records else tools.state(folder)
     if as_json:
         click.echo(orjson.dumps(told))
@@ -144,9 +154,13 @@
 def journal_verify(folder, as_json):
     """Name every stretch that can't be read; exit 1 where there is one."""
     from courseroute.journal import tools
+
     bad = tools.verify(folder)
-    click.echo(orjson.dumps(bad) if as_json else "\n".join(
-        "{segment}: {kind} at byte {at}, {bytes} bytes".format(**one) for one in bad) or "good")
+    click.echo(
+        orjson.dumps(bad)
+        if as_json
+        else "\n".join("{segment}: {kind} at byte {at}, {bytes} bytes".format(**one) for one in bad) or "good"
+    )
     sys.exit(bool(bad))
 
 
@@ -156,6 +170,7 @@
 def journal_stat(folder, as_json):
     """Figures of each segment."""
     from courseroute.journal import tools
+
     told = tools.stat(folder)
     if as_json:
         click.echo(orjson.dumps(told))
@@ -168,6 +183,7 @@
 def journal_dump(folder):
     """Every record as a JSON line."""
     from courseroute.journal import tools
+
     for line in tools.lines(folder):
         click.echo(line)
 
@@ -192,6 +208,7 @@
 
 def mend(what):
     from courseroute.journal import frames, lock, tools
+
     try:
         return what(tools)
     except (lock.Held, frames.Newer, OSError) as cause:
@@ -213,14 +230,32 @@
 def town_check(file, as_json):
     """Name every mistake in a day's FILE; print what the day holds."""
     from courseroute.town.script import arrivals, destinations, load, strikes
+
     day = load(file)
-    told = {"about": day.about, "seed": day.seed, "relays": day.relays.count, "messages": len(arrivals(day)),
-            "destinations": len(destinations(day)),
-            "faults": [{"kind": one.kind, "begin_ms": one.begin // 10 ** 6, "end_ms": one.end // 10 ** 6,
-                        "names": list(one.names)} for one in strikes(day)]}
-    click.echo(orjson.dumps(told) if as_json else (
-        f"{file}: good, {told['messages']} messages to {told['destinations']} destinations through "
-        f"{told['relays']} relays, {len(told['faults'])} faults"))
+    told = {
+        "about": day.about,
+        "seed": day.seed,
+        "relays": day.relays.count,
+        "messages": len(arrivals(day)),
+        "destinations": len(destinations(day)),
+        "faults": [
+            {
+                "kind": one.kind,
+                "begin_ms": one.begin // 10**6,
+                "end_ms": one.end // 10**6,
+                "names": list(one.names),
+            }
+            for one in strikes(day)
+        ],
+    }
+    click.echo(
+        orjson.dumps(told)
+        if as_json
+        else (
+            f"{file}: good, {told['messages']} messages to {told['destinations']} destinations through "
+            f"{told['relays']} relays, {len(told['faults'])} faults"
+        )
+    )
 
 
 @town.command("run")
@@ -228,12 +263,16 @@
 @click.option("--seed", type=int, help="Another seed than the file's.")
 @click.option("--workers", type=click.IntRange(1, 16), help="Processes of partners and clients.")
 @click.option("--relay", "command", help="Another relay's command line; it reads ROUTER_CONFIG.")
-@click.option("--folder", type=click.Path(file_okay=False, path_type=Path),
-              help="Where the relays' folders, logs and the ledger are kept; else nothing is.")
+@click.option(
+    "--folder",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Where the relays' folders, logs and the ledger are kept; else nothing is.",
+)
 @AS_JSON
 def town_run(files, seed, workers, command, folder, as_json):
     """Play each day's FILE. Exit 1 on a broken rule, 3 where the town itself ran late."""
     from courseroute.town.script import load
+
     days = [(Path(file), load(file, seed=seed, workers=workers)) for file in files]
     found = {}
     for file, day in days:
@@ -243,8 +282,13 @@
     elif len(found) > 1:
         show.days(found)
     rows = found.values()
-    sys.exit(1 if any(one["broken"] and not one["void"] for one in rows) else 3 if any(
-        one["void"] for one in rows) else 0)
+    sys.exit(
+        1
+        if any(one["broken"] and not one["void"] for one in rows)
+        else 3
+        if any(one["void"] for one in rows)
+        else 0
+    )
 
 
 town.add_command(town_soak)
@@ -255,6 +299,7 @@
 
     from courseroute.town.play import play
     from courseroute.town.report import figures
+
     kept = folder is not None
     place = folder / name if kept else Path(tempfile.mkdtemp(prefix="courseroute-town-"))
     if kept and place.exists() and any(place.iterdir()):
--- a/courseroute/state/desk.py
+++ b/courseroute/state/desk.py
@@ -3,6 +3,7 @@
 A message is written to the log before its 202, a call before it leaves, an end as soon as it is known.
 What the module decides for a message not promised yet becomes the answer to its client; later a notice.
 """
+
 import traceback
 from collections import OrderedDict, deque
 
@@ -16,29 +17,63 @@
 from courseroute.wire import words
 
 MS = 1_000_000
-LEG, NOTICE, END = 160, 80, 40      # bytes of such a record in the log, beside the message's name
+LEG, NOTICE, END = 160, 80, 40  # bytes of such a record in the log, beside the message's name
 
 
 class Held:
-    __slots__ = ("name", "dst", "lane", "deadline", "body", "mark", "key", "customer", "again", "at",
-                 "promised", "legs", "ending", "size", "unread", "answer_by")
+    __slots__ = (
+        "name",
+        "dst",
+        "lane",
+        "deadline",
+        "body",
+        "mark",
+        "key",
+        "customer",
+        "again",
+        "at",
+        "promised",
+        "legs",
+        "ending",
+        "size",
+        "unread",
+        "answer_by",
+    )
 
     def __init__(self, name, dst, lane, deadline, body, mark, key, customer, again, at=0):
         self.name, self.dst, self.lane, self.deadline, self.body = name, dst, lane, deadline, body
         self.mark, self.key, self.customer, self.again = mark, key, customer, again
-        self.at = at        # taken on: the order among those of one key
-        self.promised, self.legs, self.ending = False, [], None     # legs: [host, sent at, ending or None]
-        self.size = 0       # in the log, with room for all its legs
-        self.answer_by = deadline   # when its final answer has to be begun, to arrive before the deadline
-        self.unread = 0     # how long its request had lain unread, in nanoseconds; not kept in the log
+        self.at = at  # taken on: the order among those of one key
+        self.promised, self.legs, self.ending = False, [], None  # legs: [host, sent at, ending or None]
+        self.size = 0  # in the log, with room for all its legs
+        self.answer_by = deadline  # when its final answer has to be begun, to arrive before the deadline
+        self.unread = 0  # how long its request had lain unread, in nanoseconds; not kept in the log
 
     def record(self):
-        return record(records.TAKEN, [self.name, self.dst, self.lane, self.deadline, self.mark, self.key,
-                                      self.customer, self.again, self.at], self.body)
+        return record(
+            records.TAKEN,
+            [
+                self.name,
+                self.dst,
+                self.lane,
+                self.deadline,
+                self.mark,
+                self.key,
+                self.customer,
+                self.again,
+                self.at,
+            ],
+            self.body,
+        )
 
     def records(self):
-        return [self.record(), *(record(records.CALL, [self.name, n, host, at, ending])
-                                 for n, (host, at, ending) in enumerate(self.legs))]
+        return [
+            self.record(),
+            *(
+                record(records.CALL, [self.name, n, host, at, ending])
+                for n, (host, at, ending) in enumerate(self.legs)
+            ),
+        ]
 
 
 class Desk:
@@ -46,16 +81,16 @@
         self.dispatcher, self.terms, self.house, self.log = dispatcher, terms, house, log
         self.clock, self.say, self.memory = clock, say, int(memory * house["held"])
         self.held, self.owed = {}, {}
-        self.ends = OrderedDict()           # name -> delivered, returned, failed or over
+        self.ends = OrderedDict()  # name -> delivered, returned, failed or over
         self.hosts = self.notices = self.discovery = self.alarm = self.leave = self.see_off = None
         self.waiting, self.telling, self.ready = deque(), False, False
-        self.unread_for = lambda: 0         # how long a request may have waited until it was read
+        self.unread_for = lambda: 0  # how long a request may have waited until it was read
         self.syncer = None
-        self.learned = None                 # the file of what the module knows of the hosts
+        self.learned = None  # the file of what the module knows of the hosts
         self.bytes = 0
-        self.deadlines = {}                 # of messages whose notices are owed, those of this life
-        self.withheld = {}                  # ends not told yet, as they are not written: name -> answer_by
-        self.unwritten = {}                 # name -> kind of the end's record that is still to be written
+        self.deadlines = {}  # of messages whose notices are owed, those of this life
+        self.withheld = {}  # ends not told yet, as they are not written: name -> answer_by
+        self.unwritten = {}  # name -> kind of the end's record that is still to be written
         self.full = None
         self.figures = Figures()
         log.refresh, log.remembered = self.live_records, self.ends.__contains__
@@ -75,15 +110,25 @@
 
     def take(self, told, gone, unread=0):
         name = told["name"]
-        if name in self.held:       # handed in once more, as its answer may have been lost
+        if name in self.held:  # handed in once more, as its answer may have been lost
             return 202, 0
         if name in self.ends:
             return {"delivered": 200, "returned": 503}.get(self.ends[name], 500), 0
         now = self.clock()
-        unread = max(unread, self.unread_for())     # the system may not tell the first
+        unread = max(unread, self.unread_for())  # the system may not tell the first
         deadline = now + told["left"] - unread
-        msg = Held(name, told["dst"], told["lane"], deadline, bytes(told["body"]),
-                   told["mark"], told["key"] or None, told["customer"], told["again"], now)
+        msg = Held(
+            name,
+            told["dst"],
+            told["lane"],
+            deadline,
+            bytes(told["body"]),
+            told["mark"],
+            told["key"] or None,
+            told["customer"],
+            told["again"],
+            now,
+        )
         msg.unread, msg.answer_by = unread, self.answer_by(msg)
         self.figures.longest("request_unread_ms", unread)
         if cause := self.why_refused(msg, gone):
@@ -194,8 +239,11 @@
             if self.is_last_call(due):
                 self.tell_platform(name)
         for name, kind in list(self.unwritten.items()):
-            parts = self.live_records(name) if kind == records.OWED else [
-                self.log.over(name, self.ends.get(name, "over"))]
+            parts = (
+                self.live_records(name)
+                if kind == records.OWED
+                else [self.log.over(name, self.ends.get(name, "over"))]
+            )
             try:
                 self.log.write(*parts)
                 del self.unwritten[name]
@@ -243,7 +291,7 @@
         msg.legs.append([host, now, None])
         try:
             self.promise(msg, record(records.CALL, [name, n, host, now, None]))
-        except Full as cause:       # what can't be written must not leave
+        except Full as cause:  # what can't be written must not leave
             self.fault(cause)
             self.hosts.unsent(msg, n, host)
             return
@@ -284,16 +332,24 @@
             return
         msg.ending = state, after
         self.figures.count("closed", cause)
-        if not msg.promised:        # its client still waits: the answer tells it
+        if not msg.promised:  # its client still waits: the answer tells it
             self.forget(msg, state)
             return
-        self.say("message closed", id=name, state=state, cause=cause, lane=msg.lane, attempts=len(msg.legs),
-                 held_ms=(self.clock() - msg.at) // MS, left_ms=(msg.deadline - self.clock()) // MS,
-                 unread_ms=msg.unread // MS)
+        self.say(
+            "message closed",
+            id=name,
+            state=state,
+            cause=cause,
+            lane=msg.lane,
+            attempts=len(msg.legs),
+            held_ms=(self.clock() - msg.at) // MS,
+            left_ms=(msg.deadline - self.clock()) // MS,
+            unread_ms=msg.unread // MS,
+        )
         self.owed[name] = state, after
         self.deadlines[name] = msg.deadline
         self.count(NOTICE + len(name))
-        self.forget(msg, state)     # first: the note may compact the log, and must not bring it back
+        self.forget(msg, state)  # first: the note may compact the log, and must not bring it back
         self.withheld[name] = msg.answer_by
         if self.note(record(records.OWED, [name, state, after])) or self.is_last_call(msg.answer_by):
             self.tell_platform(name)
@@ -312,7 +368,7 @@
 
     def note_told(self, name, deadline):
         """Counts a notice by whether it was told before its deadline; logs one that was not."""
-        if deadline is None:        # owed since an earlier life
+        if deadline is None:  # owed since an earlier life
             self.figures.count("notices", "of an earlier life")
             return
         late = self.clock() - deadline
@@ -391,6 +447,15 @@
             told, at = self.learned.read()
             if told and (same_clock or 0 <= self.clock() - at <= self.house["learned_for"]):
                 self.tell("recall", told, at)
-        for msg in sorted(self.held.values(), key=lambda msg: msg.at):      # copies stand behind younger ones
-            self.tell("take", msg.name, msg.dst, msg.lane, msg.answer_by, msg.key, msg.customer, msg.again,
-                      [tuple(leg) for leg in msg.legs])
+        for msg in sorted(self.held.values(), key=lambda msg: msg.at):  # copies stand behind younger ones
+            self.tell(
+                "take",
+                msg.name,
+                msg.dst,
+                msg.lane,
+                msg.answer_by,
+                msg.key,
+                msg.customer,
+                msg.again,
+                [tuple(leg) for leg in msg.legs],
+            )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """The one file of helpers: a relay under hand-held time, and a real one among stand-ins."""
+
 import contextlib
 import http.client
 import json
@@ -25,9 +26,20 @@
 
 class Relay:
     def __init__(self, hosts=(("a", 4.0),), kind="plain", **terms):
-        told = {"slots": 8, "room": 40, "legs": 8, "cancel": True, "stay_away": 2 * S, "tick": 5 * MS,
-                "cold": 10 * S, "cold_from": 0.25, "overload": 2.0, "turn_gap": S, "lanes": LANES,
-                "kinds": {"plain": {"apart": False, "per_call": 1}, "apart": {"apart": True, "per_call": 5}}}
+        told = {
+            "slots": 8,
+            "room": 40,
+            "legs": 8,
+            "cancel": True,
+            "stay_away": 2 * S,
+            "tick": 5 * MS,
+            "cold": 10 * S,
+            "cold_from": 0.25,
+            "overload": 2.0,
+            "turn_gap": S,
+            "lanes": LANES,
+            "kinds": {"plain": {"apart": False, "per_call": 1}, "apart": {"apart": True, "per_call": 5}},
+        }
         self.now, self.n, self.seen = 1000 * S, 0, []
         self.relay = Dispatcher(7, told | terms)
         self.tell("start")
@@ -66,17 +78,45 @@
 
 ROOT = Path(__file__).parent.parent
 GRADES = [
-    {"name": name, "effect": effect, "deadline": 8_000_000, "objective": 2_000_000, "group": "all",
-     "window": 5_000_000}
-    for name, effect in (("notice", "pure"), ("order", "token"), ("once", "side_effect"))]
+    {
+        "name": name,
+        "effect": effect,
+        "deadline": 8_000_000,
+        "objective": 2_000_000,
+        "group": "all",
+        "window": 5_000_000,
+    }
+    for name, effect in (("notice", "pure"), ("order", "token"), ("once", "side_effect"))
+]
 SETTINGS = {
-    "balancers": 1, "me": 0, "zone": "z", "discovery": "on_request", "tick": 5000, "kinds": ["k"],
-    "grades": GRADES, "weight-source": "none",
+    "balancers": 1,
+    "me": 0,
+    "zone": "z",
+    "discovery": "on_request",
+    "tick": 5000,
+    "kinds": ["k"],
+    "grades": GRADES,
+    "weight-source": "none",
     "family-info": {"call-slots": 8, "per-call": [1], "routes-apart": [False]},
-    "permissions": {"cancel": True, "connect-timeout": 1_500_000, "idle-close": 10_000_000, "open-cap": 100,
-                    "send-cap": 8, "max-retry-after": 2_000_000, "retry-after": True, "parallel-tries": True},
-    "safety": {"ask-within": 10_000_000, "cold": 10_000_000, "cold-from": 0.25, "overload-factor": 1.5,
-               "stop-sending-within": 1_000_000, "fall": 1_500_000}}
+    "permissions": {
+        "cancel": True,
+        "connect-timeout": 1_500_000,
+        "idle-close": 10_000_000,
+        "open-cap": 100,
+        "send-cap": 8,
+        "max-retry-after": 2_000_000,
+        "retry-after": True,
+        "parallel-tries": True,
+    },
+    "safety": {
+        "ask-within": 10_000_000,
+        "cold": 10_000_000,
+        "cold-from": 0.25,
+        "overload-factor": 1.5,
+        "stop-sending-within": 1_000_000,
+        "fall": 1_500_000,
+    },
+}
 
 
 def address_of_worker():
@@ -101,9 +141,15 @@
 
     def configure(self):
         known = {"index": 1, "snapshot": True, "endpoints": self.entries()} if self.known else None
-        config = {"name": "n0", "listen": "{}:{}".format(*self.relay_place), "seed": "8c1f30d27a5be964",
-                  "known": known, "discovery": "{}:{}".format(*self.discovery),
-                  "settings": self.settings, "limits": self.limits}
+        config = {
+            "name": "n0",
+            "listen": "{}:{}".format(*self.relay_place),
+            "seed": "8c1f30d27a5be964",
+            "known": known,
+            "discovery": "{}:{}".format(*self.discovery),
+            "settings": self.settings,
+            "limits": self.limits,
+        }
         (self.folder / "config.json").write_text(json.dumps(config))
 
     def start(self, wait=True, **faults):
@@ -115,8 +161,13 @@
             env["PYTHONPATH"] = str(ROOT / "courseroute" / "town" / "shims")
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.log = open(self.folder / "out", "ab")
-        self.relay = subprocess.Popen(["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
-                                      cwd=ROOT, env=os.environ | env, stdout=self.log, stderr=self.log)
+        self.relay = subprocess.Popen(
+            ["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
+            cwd=ROOT,
+            env=os.environ | env,
+            stdout=self.log,
+            stderr=self.log,
+        )
         return not wait or until(lambda: self.ask("GET", "/ready")[0] == 200)
 
     def ask(self, method, path, headers=None, body=b"", within=2):
@@ -132,8 +183,14 @@
             conn.close()
 
     def hand_in(self, name, lane="notice", body=b"x", left="8000m", **more):
-        headers = {"X-Request-Id": name, "X-Class": lane, "X-Tenant": "t", "X-Deadline": left,
-                   "Envelope": "dest=7", "Idempotency-Key": f"k-{name}"}
+        headers = {
+            "X-Request-Id": name,
+            "X-Class": lane,
+            "X-Tenant": "t",
+            "X-Deadline": left,
+            "Envelope": "dest=7",
+            "Idempotency-Key": f"k-{name}",
+        }
         return self.ask("POST", f"/{lane}", headers | more, body)[0]
 
     def raw(self, data, within=3.0):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,4 +1,5 @@
 """What is kept: the log's records and limits, the pool's connections, the desk's guard."""
+
 import errno
 import socket
 
@@ -31,12 +32,18 @@
         self.socket.close()
 
 
-@pytest.mark.parametrize("age, fresh, spoil, reused", [
-    (REST_NS - 1, 9 * S, None, False), (REST_NS, 9 * S, None, True), (7 * S, 9 * S, None, True),
-    (8 * S, 9 * S, None, False), (S, S, None, False),
-    (REST_NS, S, lambda pipe: pipe.peer.close(), False),
-    (REST_NS, S, lambda pipe: pipe.peer.send(b"x"), False),
-])
+@pytest.mark.parametrize(
+    "age, fresh, spoil, reused",
+    [
+        (REST_NS - 1, 9 * S, None, False),
+        (REST_NS, 9 * S, None, True),
+        (7 * S, 9 * S, None, True),
+        (8 * S, 9 * S, None, False),
+        (S, S, None, False),
+        (REST_NS, S, lambda pipe: pipe.peer.close(), False),
+        (REST_NS, S, lambda pipe: pipe.peer.send(b"x"), False),
+    ],
+)
 def test_an_idle_connection_is_used_again_only_while_it_surely_stands(age, fresh, spoil, reused):
     now = [100 * S]
     pool = Pool(2, 8 * S, lambda: now[0], lambda: fresh)
@@ -80,8 +87,17 @@
     assert pool.enter() and pool.open == 2 and not pool.enter()
 
 
-TOLD = {"name": "a", "dst": "7", "lane": "notice", "left": S, "mark": "", "customer": "", "again": False,
-        "key": "", "body": b"x"}
+TOLD = {
+    "name": "a",
+    "dst": "7",
+    "lane": "notice",
+    "left": S,
+    "mark": "",
+    "customer": "",
+    "again": False,
+    "key": "",
+    "body": b"x",
+}
 
 
 class Still:
@@ -109,7 +125,7 @@
 def desk_of(folder, dispatcher, said=None):
     log = Journal(Disk(folder), 1_000_000)
     say = (lambda event, **told: said.append(event)) if said is not None else (lambda event, **told: None)
-    desk = Desk(dispatcher, {"lanes": {"notice": {}}}, HOUSE, log, 10 ** 8, lambda: 5 * MS, say)
+    desk = Desk(dispatcher, {"lanes": {"notice": {}}}, HOUSE, log, 10**8, lambda: 5 * MS, say)
     desk.notices, desk.ready = Notices(desk, HOUSE, None, say), True
     desk.recover()
     return desk
@@ -138,13 +154,16 @@
     def step(moment):
         if moment == full_at:
             compact_all(desk.log)
+
     step("taken")
     assert desk.take(TOLD, False) == (202, 0) and desk.take(TOLD, False) == (202, 0)
     step("ended")
-    if full_at == "killed":     # just after the compaction, before the record that asked for it
+    if full_at == "killed":  # just after the compaction, before the record that asked for it
+
         def die(*parts):
             compact_all(desk.log)
             desk.log.write = lambda *parts: None
+
         desk.log.write = die
     if end == "delivered":
         desk.finish(desk.held["a"], end)
@@ -168,7 +187,7 @@
 def desk_on(disk, now):
     """A desk whose clock reads now[0], on a disk that can be made to fail."""
     journal, say = Journal(disk, 1_000_000), (lambda event, **told: None)
-    desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10 ** 8, lambda: now[0], say)
+    desk = Desk(Still(), {"lanes": {"notice": {}}}, HOUSE, journal, 10**8, lambda: now[0], say)
     desk.notices, desk.ready = Notices(desk, HOUSE, None, None), True
     desk.recover()
     return desk
@@ -237,6 +256,7 @@
             for guest in list(clients.open):
                 clients.give_up(guest)
             return data
+
         await theirs.send(ask if last_byte else ask[:9])
         trio.SocketStream.receive_some = receive
         try:
@@ -246,6 +266,7 @@
             trio.SocketStream.receive_some = read
         assert (await theirs.recv(99)).startswith(b"HTTP/1.1 200 ") == last_byte
         assert not clients.open and not clients.silent and not clients.idle and clients.left == 9999
+
     trio.run(play)
 
 
@@ -253,9 +274,10 @@
     roster = Roster(str(tmp_path), 4000)
     assert roster.read() is None and not roster.write()
     one = ("h1", "ready", "z", None, "k", "7")
-    roster.learn("full", [one, ("h2", "draining", "z", 2.5, "k", "7")],
-                 {"h1": ("127.0.0.1", 1), "h2": ("::1", 2)})
-    assert roster.write() and not roster.write()        # only where it changed
+    roster.learn(
+        "full", [one, ("h2", "draining", "z", 2.5, "k", "7")], {"h1": ("127.0.0.1", 1), "h2": ("::1", 2)}
+    )
+    assert roster.write() and not roster.write()  # only where it changed
     again = Roster(str(tmp_path), 4000)
     index, scope, entries, where = roster_of(again.read(), False)
     assert scope == "full" and one in entries and where["h2"] == ("::1", 2)
@@ -264,9 +286,12 @@
     assert again.write()
     _, _, entries, where = roster_of(again.read(), False)
     assert entries == [("h1", "ready", "y", None, "k", "7")] and where == {"h1": ("127.0.0.1", 1)}
-    again.learn("changes", [(f"x{i}", "ready", "z", None, "k", "7") for i in range(90)],
-                {f"x{i}": ("127.0.0.1", 1) for i in range(90)})
-    assert not again.write()        # too long a list is not kept
+    again.learn(
+        "changes",
+        [(f"x{i}", "ready", "z", None, "k", "7") for i in range(90)],
+        {f"x{i}": ("127.0.0.1", 1) for i in range(90)},
+    )
+    assert not again.write()  # too long a list is not kept
     for torn in (b"", b"{", b"[]", b"\xff"):
         (tmp_path / "list").write_bytes(torn)
         assert again.read() is None
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -1,4 +1,5 @@
 """The town on sockets: what it plays, what its judge catches, and the relay under the hard instants."""
+
 import itertools
 import json
 import os
@@ -22,18 +23,36 @@
 
 ROOT = Path(__file__).parent.parent
 HARD_CASES = 4
-MOST_PLAYS = 4      # in which each hard case has to come up; when calls meet is up to the machine
+MOST_PLAYS = 4  # in which each hard case has to come up; when calls meet is up to the machine
 LANE = {"target": "2s", "deadline": "2500ms"}
 SMALL = {
-    "lasts": "3s", "partners": {"p": {"count": 2, "hosts": 2, "pace": "20ms"}},
+    "lasts": "3s",
+    "partners": {"p": {"count": 2, "hosts": 2, "pace": "20ms"}},
     "traffic": {"rate": 25.0, "keys": 2, "again": 0, "lanes": {"notice": 1.0}},
-    "lanes": {"notice": LANE | {"effect": "retriable"}, "once": LANE | {"effect": "non-retriable"},
-              "order": LANE | {"effect": "keyed", "group": "all", "window": "5s"},
-              "turn": LANE | {"effect": "retriable", "ordered": True}},
-    "sending": {"slots": 32, "room": 200, "legs": 8, "cancel": True, "connect_within": "1s",
-                "stay_away": "1s"},
-    "rules": {"drain_grace": "300ms", "ask_within": "5s", "cold": "4s", "cold_from": 0.25, "overload": 1.5,
-              "fall": "500ms", "turn_gap": "500ms"}}
+    "lanes": {
+        "notice": LANE | {"effect": "retriable"},
+        "once": LANE | {"effect": "non-retriable"},
+        "order": LANE | {"effect": "keyed", "group": "all", "window": "5s"},
+        "turn": LANE | {"effect": "retriable", "ordered": True},
+    },
+    "sending": {
+        "slots": 32,
+        "room": 200,
+        "legs": 8,
+        "cancel": True,
+        "connect_within": "1s",
+        "stay_away": "1s",
+    },
+    "rules": {
+        "drain_grace": "300ms",
+        "ask_within": "5s",
+        "cold": "4s",
+        "cold_from": 0.25,
+        "overload": 1.5,
+        "fall": "500ms",
+        "turn_gap": "500ms",
+    },
+}
 
 
 def fault(kind, at="500ms", **more):
@@ -52,18 +71,30 @@
     return {"traffic": SMALL["traffic"] | {"lanes": dict.fromkeys(names, 1.0)}}
 
 
-@pytest.mark.parametrize("mode, told, rule", [
-    ("loses", {}, "one final answer"), ("sends on after the end", {}, "one final answer"),
-    ("refuses but sends", {}, "one final answer"),
-    ("twice", lanes("once") | {"fault": [fault("errors", share=0.5)]}, "no effect twice"),
-    ("calls it harmless", lanes("once") | {"fault": [fault("reset-after", share=0.5)]}, "no effect twice"),
-    ("ignores drains", {"fault": [fault("drain", where="p-0.0")]}, "drains kept"),
-    ("pushes over", {"partners": {"p": {"count": 2, "hosts": 2, "limit": 8.0}},
-                     "fault": [fault("shut", lasts="1s")]}, "cold returns"),
-    ("out of order", lanes("turn"), "order kept"),
-    ("ignores waits", {"partners": {"p": {"count": 2, "limit": 4.0, "wait": "900ms"}}}, "waits heeded"),
-    ("changes", {}, "unchanged"), ("strays", {}, "unchanged"),
-])
+@pytest.mark.parametrize(
+    "mode, told, rule",
+    [
+        ("loses", {}, "one final answer"),
+        ("sends on after the end", {}, "one final answer"),
+        ("refuses but sends", {}, "one final answer"),
+        ("twice", lanes("once") | {"fault": [fault("errors", share=0.5)]}, "no effect twice"),
+        (
+            "calls it harmless",
+            lanes("once") | {"fault": [fault("reset-after", share=0.5)]},
+            "no effect twice",
+        ),
+        ("ignores drains", {"fault": [fault("drain", where="p-0.0")]}, "drains kept"),
+        (
+            "pushes over",
+            {"partners": {"p": {"count": 2, "hosts": 2, "limit": 8.0}}, "fault": [fault("shut", lasts="1s")]},
+            "cold returns",
+        ),
+        ("out of order", lanes("turn"), "order kept"),
+        ("ignores waits", {"partners": {"p": {"count": 2, "limit": 4.0, "wait": "900ms"}}}, "waits heeded"),
+        ("changes", {}, "unchanged"),
+        ("strays", {}, "unchanged"),
+    ],
+)
 def test_a_relay_that_breaks_a_rule_is_caught(tmp_path, mode, told, rule):
     found, _ = played(tmp_path, told, mode)
     assert found["rules"][rule] and not found["void"], found["broken"]
@@ -99,7 +130,7 @@
                         leg["ran" if what == "ran" else "end"] = row["at"]
                         leg["cause"] = row.get("cause", "") or row.get("by", "") or leg["cause"]
     refused, killed = at["refuse"][0], at["n0", "kill"][0]
-    if abs(refused - killed) < 20 * 10 ** 6:
+    if abs(refused - killed) < 20 * 10**6:
         found.add("a refusal and a SIGKILL in one instant")
     for relay, taken, legs in calls.values():
         kills = [kill for kill in at.get((relay, "kill"), ()) if kill > taken]
@@ -109,8 +140,10 @@
             late = first["ran"] and first["end"] and first["end"] < first["ran"]
             if late and first["cause"] == "relay" and then["cause"] == "repeat":
                 found.add("an answer too late, then the repeat")
-        if any(leg["end"] and leg["cause"] == "host" and abs(leg["end"] - at["replace"][0]) < 20 * 10 ** 6
-               for leg in legs):
+        if any(
+            leg["end"] and leg["cause"] == "host" and abs(leg["end"] - at["replace"][0]) < 20 * 10**6
+            for leg in legs
+        ):
             found.add("replaced under its address mid-call")
     return found
 
@@ -119,24 +152,48 @@
 def test_the_relay_keeps_every_rule_where_faults_meet(tmp_path, name):
     """The hard cases; restarts, a stall, a lost folder, a moved directory; partners that fail each way."""
     days = {
-        "hard": [fault("refuse", "500ms", where="p-0"), fault("kill", "500ms", where="n0"),
-                 fault("slow", "500ms", where="p-1", factor=100.0, lasts="1500ms"),
-                 fault("replace", "1500ms", where="p-1.0"), fault("shut", "2200ms", where="p-2", lasts="1s"),
-                 fault("kill", "2800ms", where="n1"), fault("kill", "2800ms", where="n2")],
-        "restarts": [fault("restart", "500ms", where="n0"), fault("wipe", "1s", where="n1"),
-                     fault("pause", "1500ms", where="n2", lasts="700ms"), fault("reload", "2s", where="n2"),
-                     fault("directory-down", "500ms"), fault("notices-down", "500ms"),
-                     fault("errors", "500ms", share=0.3)],
-        "partners": [fault("spoilt", share=0.2, where="p-0"), fault("answer-lost", share=0.2, where="p-1"),
-                     fault("reset-before", share=0.2), fault("drain", where="p-0.1"),
-                     fault("leave", where="p-1.1"), fault("silent", "1s", where="p-2", lasts="1s"),
-                     fault("disk-full", where="n0", lasts="1s")]}
-    deadline = "7s" if name == "hard" else "4s"     # or ejected hosts are not tried again in time
-    told = {"relays": {"count": 3}, "fault": days[name],
-            "partners": {"p": SMALL["partners"]["p"] | {"count": 3}},
-            "traffic": SMALL["traffic"] | {"rate": 60.0, "again": 3, "keys": 10, "lanes": dict.fromkeys(
-                ("notice", "order", "once", "turn"), 1.0)},
-            "lanes": {lane: form | {"deadline": deadline} for lane, form in SMALL["lanes"].items()}}
+        "hard": [
+            fault("refuse", "500ms", where="p-0"),
+            fault("kill", "500ms", where="n0"),
+            fault("slow", "500ms", where="p-1", factor=100.0, lasts="1500ms"),
+            fault("replace", "1500ms", where="p-1.0"),
+            fault("shut", "2200ms", where="p-2", lasts="1s"),
+            fault("kill", "2800ms", where="n1"),
+            fault("kill", "2800ms", where="n2"),
+        ],
+        "restarts": [
+            fault("restart", "500ms", where="n0"),
+            fault("wipe", "1s", where="n1"),
+            fault("pause", "1500ms", where="n2", lasts="700ms"),
+            fault("reload", "2s", where="n2"),
+            fault("directory-down", "500ms"),
+            fault("notices-down", "500ms"),
+            fault("errors", "500ms", share=0.3),
+        ],
+        "partners": [
+            fault("spoilt", share=0.2, where="p-0"),
+            fault("answer-lost", share=0.2, where="p-1"),
+            fault("reset-before", share=0.2),
+            fault("drain", where="p-0.1"),
+            fault("leave", where="p-1.1"),
+            fault("silent", "1s", where="p-2", lasts="1s"),
+            fault("disk-full", where="n0", lasts="1s"),
+        ],
+    }
+    deadline = "7s" if name == "hard" else "4s"  # or ejected hosts are not tried again in time
+    told = {
+        "relays": {"count": 3},
+        "fault": days[name],
+        "partners": {"p": SMALL["partners"]["p"] | {"count": 3}},
+        "traffic": SMALL["traffic"]
+        | {
+            "rate": 60.0,
+            "again": 3,
+            "keys": 10,
+            "lanes": dict.fromkeys(("notice", "order", "once", "turn"), 1.0),
+        },
+        "lanes": {lane: form | {"deadline": deadline} for lane, form in SMALL["lanes"].items()},
+    }
     met = set()
     for seed in range(1, 1 + (MOST_PLAYS if name == "hard" else 1)):
         found, result = played(tmp_path / str(seed), told | {"seed": seed})
@@ -155,6 +212,7 @@
         if seconds > 1 and not stopped:
             stopped.append(os.kill(town.workers[0].pid, signal.SIGSTOP))
             threading.Timer(0.6, os.kill, (town.workers[0].pid, signal.SIGCONT)).start()
+
     day = made(SMALL, Day)
     assert trio.run(play, day, tmp_path / "town", None, watch).judge.void
 
@@ -174,31 +232,43 @@
 
 
 def run(*words, **more):
-    return subprocess.run([sys.executable, "-m", "courseroute", *map(str, words)], cwd=ROOT, text=True,
-                          capture_output=True, timeout=60, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "courseroute", *map(str, words)],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=60,
+        **more,
+    )
 
 
 BAD = 'seed = "x"\nlast = "3s"\n[partners.p]\npace = 4\n[traffic]\nlanes = {}\n[lanes.a]\ndeadline = "1s"\n'
 
 
-@pytest.mark.parametrize("words, code, out, err", [
-    (["town", "check", "examples/calm.toml"], 0, "317 messages", ""),
-    (["town", "check", "bad.toml"], 2, "", "partners.p.pace: found 4; allowed: a number and a unit"),
-    (["town", "run", "bad.toml"], 2, "", "last: found a key that does not exist; allowed: lasts (meant?"),
-    (["town", "run", "none.toml"], 2, "", "No such file"),
-    (["config", "check", "relay.toml"], 0, "good, relay r1", ""),
-    (["config", "show", "relay.toml", "--json"], 0, '"memory_mb":192', ""),
-    (["config", "check", "bad.toml"], 2, "", "listen: found nothing"),
-    (["config", "schema"], 0, "lanes", ""), (["version", "--json"], 0, "msgspec", ""),
-    (["town", "soak", "examples/calm.toml", "--seeds", "9..1"], 2, "", "no range of seeds such as 1..50"),
-    (["completion", "bash"], 0, "_COURSEROUTE_COMPLETE", ""), (["log", "show", "nowhere"], 2, "", "nowhere"),
-    (["serve", "bad.toml"], 2, "", "bad.toml: listen: found nothing"),
-])
+@pytest.mark.parametrize(
+    "words, code, out, err",
+    [
+        (["town", "check", "examples/calm.toml"], 0, "317 messages", ""),
+        (["town", "check", "bad.toml"], 2, "", "partners.p.pace: found 4; allowed: a number and a unit"),
+        (["town", "run", "bad.toml"], 2, "", "last: found a key that does not exist; allowed: lasts (meant?"),
+        (["town", "run", "none.toml"], 2, "", "No such file"),
+        (["config", "check", "relay.toml"], 0, "good, relay r1", ""),
+        (["config", "show", "relay.toml", "--json"], 0, '"memory_mb":192', ""),
+        (["config", "check", "bad.toml"], 2, "", "listen: found nothing"),
+        (["config", "schema"], 0, "lanes", ""),
+        (["version", "--json"], 0, "msgspec", ""),
+        (["town", "soak", "examples/calm.toml", "--seeds", "9..1"], 2, "", "no range of seeds such as 1..50"),
+        (["completion", "bash"], 0, "_COURSEROUTE_COMPLETE", ""),
+        (["log", "show", "nowhere"], 2, "", "nowhere"),
+        (["serve", "bad.toml"], 2, "", "bad.toml: listen: found nothing"),
+    ],
+)
 def test_the_command_line_answers_plainly(tmp_path, words, code, out, err):
     (tmp_path / "bad.toml").write_text(BAD)
     (tmp_path / "relay.toml").write_text(
         'name = "r1"\nlisten = "127.0.0.1:1"\ndirectory = "127.0.0.1:2"\nstate = "s"\n'
-        '[lanes.a]\ntarget = "2s"\n')
+        '[lanes.a]\ntarget = "2s"\n'
+    )
     words = [tmp_path / word if (tmp_path / word).exists() else word for word in words]
     told = run(*words)
     assert told.returncode == code and out in told.stdout and err in told.stderr, told.stderr
@@ -207,13 +277,19 @@
 
 def test_a_day_from_the_command_line_ends_in_figures_and_its_folder_can_be_looked_into(tmp_path):
     day = tmp_path / "day.toml"
-    day.write_text(f'base = "{ROOT}/examples/calm.toml"\nlasts = "4s"\n[[fault]]\nkind = "shut"\n'
-                   'at = "100ms"\nlasts = "9s"\nwhere = "*"\n[lanes.notice]\ndeadline = "6s"\n')
-    process = subprocess.Popen([sys.executable, "-m", "courseroute", "town", "run", day, "--json", "--folder",
-                                tmp_path / "kept"], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    day.write_text(
+        f'base = "{ROOT}/examples/calm.toml"\nlasts = "4s"\n[[fault]]\nkind = "shut"\n'
+        'at = "100ms"\nlasts = "9s"\nwhere = "*"\n[lanes.notice]\ndeadline = "6s"\n'
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "courseroute", "town", "run", day, "--json", "--folder", tmp_path / "kept"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     log = tmp_path / "kept/day/n0/state"
     seen = {}
-    for _ in range(60):     # the log of a running relay
+    for _ in range(60):  # the log of a running relay
         trio.run(trio.sleep, 0.1)
         if log.exists() and list(log.glob("seg-*")):
             told = run("log", "show", log, "--json")
@@ -228,7 +304,7 @@
     config = tmp_path / "kept/day/n0/relay.toml"
     assert "good, relay n0" in run("config", "check", config).stdout
     place = tuple(tomllib.loads(config.read_text())["listen"].split(":"))
-    process.send_signal(signal.SIGTERM)     # cut off, it leaves no process behind
+    process.send_signal(signal.SIGTERM)  # cut off, it leaves no process behind
     assert process.wait(10) != 0
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(place, timeout=1)
@@ -251,8 +327,14 @@
 def test_a_soak_keeps_the_days_that_break_a_rule_and_says_how_to_play_them_again(tmp_path):
     """Played by a stand-in: seed 1 is well, 2 breaks a rule, 3 is void, 4 can't be played."""
     day = str(ROOT / "examples" / "late-answers.toml")
-    plan = Plan(days=(day,), seeds=seeds_of("1..4"), jobs=2, folder=tmp_path, relay="other {seed}",
-                program=(sys.executable, "-c", PLAYED))
+    plan = Plan(
+        days=(day,),
+        seeds=seeds_of("1..4"),
+        jobs=2,
+        folder=tmp_path,
+        relay="other {seed}",
+        program=(sys.executable, "-c", PLAYED),
+    )
     summary = trio.run(soak, plan)
     assert summary.outcomes == {"kept": 1, "broken": 1, "void": 1, "failed": 1} and not summary.is_good()
     assert summary.rules == {"one final answer": 1} and max(summary.kinds.values()) == 3
@@ -283,14 +365,17 @@
 def test_faults_inside_a_process_begin_and_end_while_it_runs(tmp_path):
     (tmp_path / "faults.json").write_text("{}")
     environ = os.environ | {"PYTHONPATH": str(SHIMS), "FAULTS_FILE": str(tmp_path / "faults.json")}
-    told = subprocess.run([sys.executable, "-c", FAULTY], cwd=tmp_path, env=environ, capture_output=True,
-                          text=True)
+    told = subprocess.run(
+        [sys.executable, "-c", FAULTY], cwd=tmp_path, env=environ, capture_output=True, text=True
+    )
     assert json.loads(told.stdout) == [1, "failed", 1, -3600], told.stderr
 
 
 def test_the_relays_path_imports_none_of_the_tools_libraries():
-    code = ("import sys, courseroute.__main__; print([name for name in ('click', 'rich', 'numpy', "
-            "'structlog', 'psutil', 'asyncio', 'courseroute.town', 'courseroute.command') "
-            "if name in sys.modules])")
+    code = (
+        "import sys, courseroute.__main__; print([name for name in ('click', 'rich', 'numpy', "
+        "'structlog', 'psutil', 'asyncio', 'courseroute.town', 'courseroute.command') "
+        "if name in sys.modules])"
+    )
     told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert told.stdout.strip() == "[]"
