Failed notice calls are counted, and logged once in a row

With up to eight calls out, a platform that refuses connections had 20 lines a second in the log; now the first of a row is a line, the figures count all.

--- a/courseroute/wire/notices.py
+++ b/courseroute/wire/notices.py
@@ -1,8 +1,8 @@
 """Notices to the platform: final statuses owed, told in batches until they are taken.
 
 A call may get no answer, or its connection may come up late. The notices of a call that is out for long are
-told once more on another connection, without an end to the first call: a notice that is taken
-twice does no harm, one that waits for a call that is lost comes behind its time.
+told once more on another connection, without an end to the first call: a notice that is taken twice does no
+harm, one that waits for a call that is lost comes behind its time.
 """
 
 import math
@@ -146,7 +146,7 @@
             status = await self.post(line, names, call.body)
         if call.scope.cancelled_caught:
             line.drop()
-            self.log("notice call failed", error="given up for others", notices=len(names))
+            self.note_failed(call.begun, len(names), "given up for others")
         self.calls.remove(call)
         self.free.append(line)
         taken = [name for name in names if name in self.pending]
@@ -178,12 +178,7 @@
             else:  # told once more on a new connection, which does no harm
                 self.log("notices told again", count=len(names), status=answered)
         except (*LOST, Refused) as error:
-            self.log(
-                "notice call failed",
-                error=str(error)[:200] or type(error).__name__,
-                call_ms=round((trio.current_time() - begun) * 1000),
-                notices=len(names),
-            )
+            self.note_failed(begun, len(names), str(error)[:200] or type(error).__name__)
         self.note_failing(status is None)
         return status
 
@@ -194,6 +189,13 @@
             if name in self.pending:
                 self.pending[name].due = max(self.pending[name].due, due)
 
+    def note_failed(self, begun, count, error):
+        """Counts a call without an answer; logs it unless the one before it failed too."""
+        self.desk.figures.count("notice calls", "failed")
+        if not self.failing:
+            call_ms = round((trio.current_time() - begun) * 1000)
+            self.log("notice call failed", error=error, call_ms=call_ms, notices=count)
+
     def note_failing(self, failing):
         if failing != self.failing:
             self.failing = failing
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -14,6 +15,7 @@
 from courseroute.journal.store import Journal
 from courseroute.model.causes import CloseCause, ConnectionEnd
 from courseroute.state.desk import END, Desk
+from courseroute.state.figures import Figures
 from courseroute.state.pool import Pool
 from courseroute.state.roster import Roster
 from courseroute.wire.clients import Clients
@@ -310,10 +312,15 @@
     assert not roster.write()  # nothing is left for later
 
 
+def notices_for(desk):
+    """Before a platform that refuses connections."""
+    return Notices(desk, HOUSE, ("127.0.0.1", 1), lambda event, **told: None)
+
+
 # Guards against a relay that ends because another call told its notices before a call's task began.
 def test_a_notice_that_was_taken_before_another_call_with_it_began_is_sent_all_the_same():
     async def play():
-        notices = Notices(None, HOUSE, ("127.0.0.1", 1), lambda event, **told: None)
+        notices = notices_for(SimpleNamespace(figures=Figures()))
         notices.owe("a", "failed", 0)
         call = notices.begin_call(["a"], trio.current_time())
         del notices.pending["a"]
@@ -326,7 +333,7 @@
 # Guards against a notice that waits for its own next call while calls for others leave and are answered.
 def test_a_call_to_the_platform_carries_the_notices_of_calls_that_are_still_out():
     async def play():
-        notices = Notices(None, HOUSE, ("127.0.0.1", 1), lambda event, **told: None)
+        notices = notices_for(SimpleNamespace(figures=Figures()))
         notices.owe("a", "failed", 0)
         notices.begin_call(["a"], trio.current_time())
         assert not notices.batch(trio.current_time())
