--- a/review/standins/destination.py
+++ b/review/standins/destination.py
@@ -25,6 +25,7 @@
         self.busy = {host.name: 0 for host in self.hosts}
         self.room = {host.name: asyncio.Semaphore(workers) for host in self.hosts}
         self.shut_until = self.cold_since = None
+        self.silent = False  # it takes calls and answers none
         self.recent, self.fell_at, self.broken = deque(), None, []
         self.aware = False  # a call failed or was refused during the outage
         self.most = (0.0, 0, 0.0)  # the highest load after the return: (share of what is allowed, calls, allowed)
@@ -53,7 +54,7 @@
 
     def returns(self):
         """The end of an outage: it is cold from now on."""
-        self.shut_until, self.cold_since = None, self.record.now()
+        self.shut_until, self.silent, self.cold_since = None, False, self.record.now()
         self.recent.clear()
         self.record.add("returned", group=self.group, aware=self.aware)
 
@@ -104,6 +105,9 @@
             self.aware = True
             told = {"Wait_Ms": int((self.shut_until - now) * 1000) + 1} if self.draw.random() < self.tells_wait else {}
             return host.reply(call, 429 if told else 503, **told)
+        if self.silent:
+            self.aware = True
+            return None
         self.weigh()
         if self.fell_at is not None:
             return host.reply(call, 503)
--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -223,7 +223,7 @@
     async def hand(self, lane, dst, left_ms, key=None, body=None, subject=None, tenant="t"):
         """Hands a message in; the status of the answer, None without one."""
         name = uuid.uuid4().hex[:16]
-        body = (body or f"body of {name}").encode()
+        body = (body or f"body-of-{name}").encode()
         target = f"/{lane}" + (f"?subject={subject}" if subject else "")
         lines = [
             f"POST {target} HTTP/1.1",
