Review case 3: the next message of a key is sent before the failed one is over

Tried: 6 of 18 receivers hang for 8 s, the platform stands 40 ms away; three messages of one key each.

--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -96,9 +96,11 @@
     async def serve(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.writers.add(writer)
+        is_first = True
         try:
             while (request := await read_message(reader)) is not None:
-                answer = await self.handle(request)
+                answer = await self.handle((*request, is_first))
+                is_first = False
                 if answer is False:
                     writer.transport.abort()
                     return
@@ -132,7 +134,7 @@
         self.server = Server(self.handle)
 
     async def handle(self, request):
-        began, line, headers, body = request
+        began, line, headers, body, _ = request
         if not line.startswith("POST /hook "):
             return response(400)
         call = self.record.add(
@@ -169,6 +171,7 @@
 
     def __init__(self, record, hosts):
         self.record, self.hosts, self.index, self.mode = record, hosts, 1, None
+        self.one_way_s = 0.0  # how far away it is: a new connection costs two ways before its first request
         self.log = []  # (index, entry)
         self.changed = asyncio.Event()
         self.server = Server(self.handle)
@@ -185,7 +188,13 @@
         return {"index": self.index, "snapshot": True, "endpoints": [h.entry() for h in self.hosts if h.status != "left"]}
 
     async def handle(self, request):
-        _, line, _, body = request
+        _, line, _, body, is_first = request
+        await asyncio.sleep(self.one_way_s * (3 if is_first else 1))
+        answer = await self.answer(line, body)
+        await asyncio.sleep(self.one_way_s)
+        return answer
+
+    async def answer(self, line, body):
         method, target, _ = line.split(" ")
         if method == "POST" and target == "/v1/notices":
             for text in body.decode().splitlines():
