--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -21,6 +21,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEPT, BROKEN, NOT_RUN = 0, 1, 2
 CLIENT_PATIENCE_S = 0.4
+LOST_AFTER_S, SLACK_S = 0.3, 0.05
 REASONS = {
     200: "OK",
     204: "No Content",
@@ -275,12 +276,12 @@
             try:
                 writer.write(data)
                 answer = await asyncio.wait_for(read_message(reader), CLIENT_PATIENCE_S)
-            except (OSError, EOFError, asyncio.IncompleteReadError):
-                answer = None
-            except asyncio.TimeoutError:
+            except asyncio.TimeoutError:  # before OSError, of which it is a subclass
                 self.record.add("gave-up", id=name)
                 writer.transport.abort()
                 return None
+            except (OSError, EOFError, asyncio.IncompleteReadError):
+                answer = None
             if answer is None:  # closed between two requests: once more on a new connection
                 writer.transport.abort()
                 if kept:
@@ -299,6 +300,21 @@
     def taken_on(self):
         return [message for message in self.messages.values() if message["status"] in (200, 202)]
 
+    def lost(self):
+        """Messages that were taken on and neither delivered nor ended by a notice 0.3 s after their time was up, with
+        the 50 ms by which every limit is longer on sockets."""
+        over = {}
+        for row in self.record.rows:
+            if row["what"] == "notice" or row["what"] == "reply" and row["status"] == 200:
+                over.setdefault(row["id"], row["at"])
+        found = []
+        for message in self.taken_on():
+            late = over.get(message["id"], float("inf")) - message["until"]
+            if late > LOST_AFTER_S + SLACK_S:
+                when = f"{late:.2f} s after its time" if late < float("inf") else "never"
+                found.append(f"{message['id']} of {message['lane']} was over {when}")
+        return found
+
 
 class RelayProcess:
     """The relay under test, started by the `run` line of the deploy file."""
@@ -388,7 +404,7 @@
                 record.add("BROKEN", text=text)
             if len(broken) > 10:
                 print(f"... and {len(broken) - 10} more")
-        except (CannotRun, asyncio.TimeoutError, OSError) as cause:
+        except Exception as cause:  # CannotRun, a time-out, or a fault of the case itself
             print("not run:", repr(cause))
         finally:
             if os.environ.get("KEEP_LOGS"):
