--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""One answer in ten brings a load report that can't be read: long noise. The relay stands still over it."""
+"""One answer in twenty brings a load report that can't be read; some have absurd figures. The relay hangs."""
 
 import asyncio
 import sys
@@ -7,24 +7,30 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from peers import TROUBLE, run_case  # noqa: E402
 from deployment import Partner, Site, mixed_lanes, seeded  # noqa: E402
+from peers import TROUBLE, run_case  # noqa: E402
 
-PARTNERS, RATE, LIMIT = 8, 160.0, 30.0
-TROUBLE_AT, TROUBLE_FOR, LASTS = 4.0, 40.0, 46.0
-SHARE, NOISE_BYTES = 0.1, 12_000
-LETTERS = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
+PARTNERS, RATE, LIMIT = 8, 34.0, 5.0
+TROUBLE_AT, TROUBLE_FOR, LASTS = 4.0, 20.0, 30.0
+SHARE = 0.05
+UNREADABLE = (
+    "TEXT x0=?, x1=?",
+    "TEXT x0=0.4, x1=-",
+    "\x7e\x7e0.4 25",
+    "TEXT x0=0.4, x1=25e+303",
+    "TEXT x0=0.4e-303, x1=25e304",
+)
 
 
-async def report_of_noise(record, scratch):
+async def report_out_of_range(record, scratch):
     draw = seeded()
     partners = [Partner(record, group, draw, limit=LIMIT) for group in range(1, PARTNERS + 1)]
-    site = Site(record, scratch, draw, partners)
+    site = Site(record, scratch, draw, partners, family_info__call_slots=7, permissions__open_cap=160)
 
     def report():
         now = record.now() - began
         if TROUBLE and TROUBLE_AT < now < TROUBLE_AT + TROUBLE_FOR and draw.random() < SHARE:
-            return "".join(draw.choices(LETTERS, k=NOISE_BYTES))
+            return draw.choice(UNREADABLE)
         return None
 
     for partner in partners:
@@ -39,10 +45,10 @@
         site.end()
 
 
-def check_report_of_noise():
+def check_report_out_of_range():
     """The exit code of the case."""
-    return run_case(FOLDER, report_of_noise)
+    return run_case(FOLDER, report_out_of_range)
 
 
 if __name__ == "__main__":
-    sys.exit(check_report_of_noise())
+    sys.exit(check_report_out_of_range())
