An absurd limit in a load report no longer makes the relay loop for ever

The relay used a whole core, accepted nothing, sent nothing, did not answer GET /ready.

Cause: Dispatcher.find_slot went through the seconds one by one, `while booked > 0 and booked + 1 > budget`, with a budget that is a figure of the host. With a limit above some 1e299, `budget * (nanoseconds)` is infinite, and infinity less the budget stays infinite; with one below some 1e-16, one send less the budget stays one send; in between the steps are as many as the figure asks for (1e-6: a million for each booking, 1e-9: more than can be made). Evidence: dumps of both hung processes of the case stand in that loop, below Dispatcher.accept; a Dispatcher given each figure alone does the same.

Change: the first second with room is computed (decisions/booking.py), products of budgets with times are taken as shares of a second, and the slot inside a second as a share too, since `int` of an infinite offset raised once the loop was gone. Budgets of nought or less have no second with room.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -8,6 +8,7 @@
 
 import random
 
+from courseroute.decisions import booking
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
 from courseroute.model.agenda import Scheduler
 from courseroute.model.causes import CloseCause, HoldCause
@@ -28,7 +29,7 @@
 
 MS = 1_000_000
 S = 1000 * MS
-FOREVER = 1 << 63
+FOREVER = booking.FOREVER
 # The send budget of a route. Headroom is the share of the limit that is used; see docs/design.md.
 FIRST_HEADROOM, MAX_HEADROOM, HEADROOM_GROWTH, HEADROOM_CUT, FORGET_AFTER = 0.8, 1.0, 0.1, 0.7, 60 * S
 # Sends a second: repeated cuts leave the first to all relays together, and the second to each relay.
@@ -636,13 +637,10 @@
         current_second = earliest // S * S
         # Bookings beyond a small budget are carried over.
         if second < current_second:
-            second, booked = current_second, max(0.0, booked - budget * (current_second - second) / S)
-        # Slots that passed unused are not made up for in a burst.
+            second, booked = current_second, booking.carry_over(booked, budget, current_second - second)
         if second == current_second:
-            booked = max(booked, budget * (earliest - current_second) / S - 1)
-        # Fractions of a send are carried over; the first send always fits.
-        while booked > 0 and booked + 1 > budget:
-            second, booked = second + S, booked - budget
+            booked = max(booked, booking.used_up_by(budget, earliest - current_second))
+        second, booked = booking.first_second_with_room(second, booked, budget)
         return second, booked + 1, 1
 
     def book_slot(self, now, message):
@@ -666,10 +664,9 @@
         route = min(usable, key=slot_order)
         second, booked, call_messages = self.find_slot(now, route)
         due = max(now, second)
-        # The slot inside its second: evenly spaced, and offset from those of the other relays.
         if call_messages:
-            offset = S * (max(0.0, booked - 1) + self.phase) / max(1.0, self.send_budget(now, route))
-            due = max(now, route.wait_until, second + int(offset))
+            slot = booking.slot_in_second(booked, self.send_budget(now, route), self.phase)
+            due = max(now, route.wait_until, second + slot)
         latest = min(
             self.latest_start(message),
             now + message.lane.target if message.over_share else self.latest_start(message),
