A long load report no longer holds the relay up for seconds

Cause: parse_load_report searched with `(\w+)\s*=\s*(...)`. In a long word without "=" the search starts anew at each letter and reads on to the word's end, so time grows by the square of the length (ratio 3.9 to 4.2 for each doubling, 1,500 to 12,000 letters), in the relay's one thread; only the limit of the head, 16 KiB, bounded it. Evidence: of 1,497 stack samples of both relays, taken for 15 s of the case, 1,414 stand in parse_load_report. Ruled out: h11 on such a head, which is the rest of those stacks at most.

Change: a report of more than 512 characters is not read, and a name is tried only where a word begins, so that the search reads each word once.

The new tests failed before (6 of 6: the long report was searched and read; a search began at each letter) and pass now.

--- a/courseroute/wire/protocol.py
+++ b/courseroute/wire/protocol.py
@@ -10,6 +10,9 @@
 DURATION = re.compile(r"(\d{1,10}(?:\.\d{1,9})?)([mu])")
 STATE_OF_STATUS = {"active": "ready", "leaving": "draining", "left": "gone"}
 NOT_PRINTABLE = re.compile(r"[^\x21-\x7e]")
+MAX_REPORT_LENGTH = 512  # characters of a load report; a longer one is not read
+# A name is tried only where a word begins: tried at each letter of a long word, it takes time by its square.
+REPORT_FIELD = re.compile(r"\b(\w+)\s*=\s*([0-9.eE+-]+)")
 
 
 def parse_duration(text):
@@ -91,8 +94,10 @@
 
 
 def parse_load_report(text):
-    """The values of a load report, None where it is missing or malformed."""
-    found = dict(re.findall(r"(\w+)\s*=\s*([0-9.eE+-]+)", text or ""))
+    """The values of a load report, None where it is missing, too long or malformed."""
+    if not text or len(text) > MAX_REPORT_LENGTH:
+        return None
+    found = dict(REPORT_FIELD.findall(text))
     try:
         report = {"left": float(found["x0"]), "limit": float(found["x1"])}
     except (KeyError, ValueError):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -179,6 +179,22 @@
     assert protocol.parse_load_report(text) == report
 
 
+# Guards against a relay that stands still over each long load report: the search took time by its square.
+@pytest.mark.parametrize("noise", ["a", "a ", "a=", " ", "x0=1"])
+def test_a_long_load_report_is_not_searched(noise):
+    long_noise = noise * 6_000
+    assert protocol.parse_load_report(long_noise + " x0=0.4, x1=25") is None
+    assert protocol.parse_load_report("x0=0.4, x1=25 " + long_noise) is None
+
+
+def test_a_load_report_of_a_word_without_a_figure_is_searched_once_for_a_word():
+    """Each start of a search at a letter inside a word would read the rest of the word again."""
+    word = "a" * (protocol.MAX_REPORT_LENGTH - 20)
+    starts = [at for at in range(len(word)) if protocol.REPORT_FIELD.match(word + "=1", at)]
+    assert starts == [0]
+    assert protocol.parse_load_report(f"{word} x0=0.4, x1=25") == {"left": 0.4, "limit": 25.0}
+
+
 ENTRY = {"name": "h", "address": "127.0.0.1:80", "zone": "z", "type": "k", "group": 3, "status": "leaving"}
 
 
