One absurd limit in a report or a list no longer governs sends for long

Seen in a Dispatcher: finite figures that no longer hang the relay still steer it. One report of 1e6 among reports of 25 lifts the limit for a hundred reports (a tenth of the gap for each), 25e303 for some 6,600, and a restart brings it back from the learned state; as the first report it removes the spacing of a slow start, so a backlog goes at once to a host that has just returned. One of 0.02 as the first, with a refusal, shuts the destination for a minute. A weight of discovery's list went into the same sums unchecked (nan, negative, infinite).

Cause: attempt_ended smoothed any figure into the estimate, and took the first as it was; update_endpoints any weight.

Change, in decisions/reported_limit.py: a figure outside 1/60 to a million sends a second counts as none. One more than ten times off from the known limit, or from what was just served, waits for a second one that agrees with it. Everything else is as before: the first report and a 0 apply at once, others are smoothed. The slow start goes by a reported limit once a second report has agreed with it (stored with the learned state; in older states it counts as not agreed).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -10,6 +10,7 @@
 
 from courseroute.decisions import booking
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
+from courseroute.decisions.reported_limit import believe_report, is_believable
 from courseroute.model.agenda import Scheduler
 from courseroute.model.causes import CloseCause, HoldCause
 from courseroute.model.histogram import FailureRates, Histogram, SpanCounter
@@ -68,8 +69,7 @@
 # Above this share of lost calls (smoothed with the given weight) connections are not kept and timeouts are
 # divided by the last number.
 LOSS_THRESHOLD, LOSS_SMOOTHING, TIMEOUT_DIVISOR = 0.1, 0.05, 2
-# Weight of a newly reported limit; a rough listed rate may be too high by at most this factor.
-LIMIT_SMOOTHING, ROUGH_RATE_FACTOR = 0.1, 1.5
+ROUGH_RATE_FACTOR = 1.5  # a rough listed rate may be too high by at most this factor
 # Times after the request to stop: the end of sending, and the exit.
 LAST_SEND_AFTER, EXIT_AFTER = 2400 * MS, 3000 * MS
 # Names of the stored fields, in the order of their values in the stored record; they survive a restart.
@@ -83,6 +83,7 @@
     "refuses_all",
     "wait_until",
     "usual_rate",
+    "limit_confirmed",
 )
 STORED_HOST_FIELDS = (
     "evidence",
@@ -187,7 +188,8 @@
                 host.listed, host.gone_since = False, host.gone_since or now
         for name, state, area, rate, kind, destination_name in entries:
             host = self.hosts.get(name) or self.add_host(name, kind, destination_name)
-            host.listed, host.area, host.listed_rate = state == "ready", area, rate
+            host.listed, host.area = state == "ready", area
+            host.listed_rate = rate if rate is not None and is_believable(rate) else None
             host.gone_since = (host.gone_since or now) if state == "gone" else None
         for destination in self.destinations.values():
             for route in destination.routes:
@@ -385,13 +387,7 @@
         if not (message.may_have_run or message.pending):
             message.first_uncertain_at = None
         if report:
-            # The reported limit is noisy and is smoothed, but a zero and the first value apply at once.
-            limit = report["limit"]
-            route.reported_limit = (
-                limit
-                if not (limit and route.reported_limit)
-                else route.reported_limit + (limit - route.reported_limit) * LIMIT_SMOOTHING
-            )
+            believe_report(route, report["limit"], route.recent_deliveries.highest(now))
         only_refusals = ending == "full" and self.handle_refusal(now, route, wait)
         if ending == "delivered":
             host.durations.add(duration)
@@ -892,7 +888,7 @@
             return 0
         start = self.terms.get("cold_from", 0.2)
         share = start if host.probing else start + (1 - start) * elapsed / slow_start_time
-        limit = host.listed_rate or host.route.reported_limit
+        limit = host.listed_rate or (host.route.reported_limit if host.route.limit_confirmed else None)
         rate = (
             limit / self.relays
             if limit
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -109,7 +109,9 @@
     refused_at: int | None = None  # last refusal; None while no budget applies
     headroom: float = 0.0  # share of the limit that the budget uses
     learned_rate: float = 0.0
-    reported_limit: float | None = None
+    reported_limit: float | None = None  # by load reports, smoothed
+    limit_confirmed: bool = False  # a second report agreed with it
+    deviating_limit: float | None = None  # of the last report, if it was far from that limit
     cut_at: int = 0  # last cut of the headroom
     refuses_all: bool = False  # refused everything for a second
     last_delivered_at: int = 0
--- a/tests/test_booking.py
+++ b/tests/test_booking.py
@@ -36,14 +36,18 @@
 
 
 # Guards against a relay that loops for ever over one absurd load report and one refusal by the same host.
+@pytest.mark.parametrize("how", ["reported", "known before"])
 @pytest.mark.parametrize("limit", ABSURD_LIMITS)
-def test_a_reported_limit_of_any_size_is_booked_by_in_few_steps(limit):
+def test_a_reported_limit_of_any_size_is_booked_by_in_few_steps(limit, how):
     relay = DispatcherHarness(hosts=[("a", None)], relays=2)
     relay.now += 300 * MS
+    report = {"left": 0.4, "limit": limit} if how == "reported" else None
+    if how == "known before":
+        relay.dispatcher.hosts["a"].route.reported_limit = limit
 
     def play():
         name, _ = relay.accept()
-        relay.report_outcome(name, "full", wait=500 * MS, report={"left": 0.4, "limit": limit})
+        relay.report_outcome(name, "full", wait=500 * MS, report=report)
         for _ in range(3):
             relay.accept()
             relay.run(500 * MS, 100 * MS)
