A count in the settings no longer decides how long a start or a SIGHUP takes

Found on the paths related to the reported limit: `parties.count` and `grades.count` stand in the flattened settings, where a setting of that very name is taken for the length of the list, and parse_settings counted up to it. A figure of 30 million holds a start or a SIGHUP up for seconds, a larger one for ever.

Change: no more items than there are settings.

--- a/courseroute/model/terms.py
+++ b/courseroute/model/terms.py
@@ -12,6 +12,11 @@
     return [value for value in settings.get(path, "").split(",") if value]
 
 
+def item_count(settings, path):
+    """The number of maps in a list of the settings. There are no more than settings, whatever the figure."""
+    return min(int(settings.get(f"{path}.count", 0)), len(settings))
+
+
 def parse_settings(settings):
     """`settings` maps each setting's path to its value as text. Durations, in microseconds, become
     nanoseconds. A setting that is absent stays absent."""
@@ -63,12 +68,12 @@
         for i, kind in enumerate(kinds)
     }
     terms["customers"] = {}
-    for i in range(int(settings.get("parties.count", 0))):
+    for i in range(item_count(settings, "parties")):
         base = f"parties.{i}."
         if base + "quota-per-s" in settings:
             terms["customers"][settings.get(base + "name", "")] = float(settings[base + "quota-per-s"])
     terms["lanes"] = {}
-    for i in range(int(settings.get("grades.count", 0))):
+    for i in range(item_count(settings, "grades")):
         lane = {}
         for name, key, convert in (
             ("target", "objective", parse_duration),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -86,6 +86,34 @@
     return [action for action in actions if action[0] == kind]
 
 
+# Work that may not grow with a figure is counted in executed lines.
+
+MAX_LINES = 50_000  # executed for a few events; a loop that counts by a figure from outside needs far more
+
+
+class TooManyLines(BaseException):
+    """No Exception, so that no guard in the code under test catches it."""
+
+
+def run_counted(function, most=MAX_LINES):
+    """Calls a function; raises TooManyLines once it has executed more than `most` lines."""
+    left = most
+
+    def count(frame, event, _):
+        nonlocal left
+        left -= event == "line"
+        if left < 0:
+            raise TooManyLines(f"{frame.f_code.co_name}, line {frame.f_lineno}")
+        return count
+
+    before = sys.gettrace()
+    sys.settrace(count)
+    try:
+        return function()
+    finally:
+        sys.settrace(before)
+
+
 # For integration tests: the relay in a process of its own, scripted hosts and platform on loopback.
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_booking.py
+++ b/tests/test_booking.py
@@ -1,40 +1,15 @@
 """Booking with figures of any size: the work is counted in executed lines, so that a loop ends the test."""
 
-import sys
 from fractions import Fraction
 
 import pytest
-from helpers import MS, DispatcherHarness, S, actions_named
+from helpers import MS, DispatcherHarness, S, actions_named, run_counted
 
 from courseroute.decisions.booking import FOREVER, first_second_with_room
 
-MAX_LINES = 50_000  # of a few events; a loop that counts by a figure needs far more
 ABSURD_LIMITS = [25e303, 25e304, 1.7e308, 1e299, 1e20, 1e7, 1e-3, 1e-6, 1e-9, 4e-303, 5e-324]
 
 
-class TooManyLines(BaseException):
-    """No Exception, so that no guard in the code under test catches it."""
-
-
-def run_counted(function, most=MAX_LINES):
-    """Calls a function; raises TooManyLines once it has executed more than `most` lines."""
-    left = most
-
-    def count(frame, event, _):
-        nonlocal left
-        left -= event == "line"
-        if left < 0:
-            raise TooManyLines(f"{frame.f_code.co_name}, line {frame.f_lineno}")
-        return count
-
-    before = sys.gettrace()
-    sys.settrace(count)
-    try:
-        return function()
-    finally:
-        sys.settrace(before)
-
-
 # Guards against a relay that loops for ever over one absurd load report and one refusal by the same host.
 @pytest.mark.parametrize("how", ["reported", "known before"])
 @pytest.mark.parametrize("limit", ABSURD_LIMITS)
