A SIGHUP with an absurd figure or address no longer ends the relay

Found on the paths related to the reported limit; seen in relay processes: a SIGHUP whose file says disk_mb 1e308 ends the relay with an OverflowError (`int` of infinity, in config.figures, behind the check of the file); one whose discovery has port 99999 or a host name that can't be encoded ends it a moment later, as connect raises OverflowError or UnicodeError, which the calls for the list and the notices don't expect. All messages taken on wait for a restart. The same figures end a start in a trace.

Change: bounds on memory, descriptors and disk (a million MB, a million), ports up to 65535 in the schema, OverflowError among the mistakes of a file; Connection.connect raises OSError for an address that no socket takes, as for any that can't be reached.

--- a/courseroute/checked.py
+++ b/courseroute/checked.py
@@ -18,7 +18,8 @@
 SPAN_ALLOWED = 'a number and a unit (ns, us, ms, s, m, h), as "250ms"'
 Span = Annotated[str, msgspec.Meta(pattern=f"^{FORM.pattern}$", description=SPAN_ALLOWED)]
 PLACE_ALLOWED = 'an address and a port, as "127.0.0.1:8080"'
-Place = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:\d{1,5}$", description=PLACE_ALLOWED)]
+PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})"  # 0 to 65535
+Place = Annotated[str, msgspec.Meta(pattern=rf"^[^\s:]+:{PORT}$", description=PLACE_ALLOWED)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -62,7 +62,7 @@
                 "disk_mb": float(limits["disk_mb"]),
             },
         }
-    except (ValueError, KeyError, TypeError, AttributeError) as cause:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as cause:
         mistake = Mistake("settings or limits", repr(cause), "the settings and limits of the protocol page")
         raise Bad(path, [mistake]) from None
     told_figures = figures(made(shape, Setup, path, strict=False))
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -16,6 +16,7 @@
     r"(target|deadline|window|connect_within|idle_close|stay_away|tick|drain_grace|ask_within|"
     r"cold|fall|turn_gap)"
 )
+MAX_MEGABYTES, MAX_DESCRIPTORS = 1 << 20, 1 << 20
 Seed = Annotated[str, msgspec.Meta(pattern="^[0-9a-fA-F]{0,32}$", description="up to 32 hexadecimal digits")]
 Number = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -23,9 +24,9 @@
 class Limits(Form, kw_only=True):
     """Resource limits of the relay."""
 
-    memory_mb: Annotated[int, msgspec.Meta(ge=1)] = 192
-    descriptors: Annotated[int, msgspec.Meta(ge=16)] = 1024
-    disk_mb: Positive = 64.0
+    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MAX_MEGABYTES)] = 192
+    descriptors: Annotated[int, msgspec.Meta(ge=16, le=MAX_DESCRIPTORS)] = 1024
+    disk_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEGABYTES)] = 64.0
 
 
 class Log(Form, kw_only=True):
--- a/courseroute/wire/connection.py
+++ b/courseroute/wire/connection.py
@@ -47,9 +47,13 @@
         self.last_exchange = None  # the last answered call, for the log
 
     async def connect(self, address):
-        """Connects to an address (host, port) and returns itself; a failure closes the socket."""
+        """Connects to an address (host, port) and returns itself; a failure closes the socket. An address
+        that no socket takes raises OSError too."""
         try:
             await self.socket.connect(address)
+        except (ValueError, OverflowError) as cause:
+            self.close()
+            raise OSError(f"no address: {cause}") from None
         except BaseException:
             self.close()
             raise
--- a/tests/test_outside_figures.py
+++ b/tests/test_outside_figures.py
@@ -1,9 +1,15 @@
 """Absurd figures and texts from discovery, the settings and the folder: none ends or stops a relay."""
 
+import signal
+
+import orjson
 import pytest
-from helpers import run_counted
+from helpers import RelayUnderTest, run_counted, wait_until
 
+from courseroute.checked import Bad, made
 from courseroute.model.terms import parse_settings
+from courseroute.run import config
+from courseroute.run.setup import Setup
 
 
 # Guards against a start or a SIGHUP that never ends: the settings' own count of a list was counted up to.
@@ -12,3 +18,73 @@
     told = {path: "30000000", "grades.0.name": "a", "parties.0.quota-per-s": "2"}
     terms = run_counted(lambda: parse_settings(told))
     assert len(terms["lanes"]) <= 2 and len(terms["customers"]) <= 1
+
+
+def platform_file(folder, **changes):
+    """A configuration file of the platform with some of its parts replaced; returns the environment."""
+    told = {
+        "name": "n",
+        "listen": "127.0.0.4:8081",
+        "discovery": "127.0.0.1:8500",
+        "seed": "ff",
+        "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "settings": {},
+    }
+    (folder / "config.json").write_bytes(orjson.dumps(told | changes))
+    return {"ROUTER_CONFIG": str(folder / "config.json"), "ROUTER_STATE": str(folder)}
+
+
+# Guards against a start that ends in a trace and a SIGHUP that ends the relay.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 1e308}},
+        {"limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": "1e400"}},
+        {"limits": {"memory_mb": 1e30, "sockets": 1024, "disk_mb": 3}},
+        {"limits": {"memory_mb": 192, "sockets": 1e30, "disk_mb": 3}},
+        {"discovery": "127.0.0.1:99999"},
+        {"listen": "127.0.0.1:70000"},
+        {"settings": {"over-share-worth": "nan"}},
+        {"settings": {"tick": "1e5"}},
+    ],
+    ids=str,
+)
+def test_figures_that_no_installation_has_are_mistakes_of_the_file(tmp_path, changes):
+    with pytest.raises(Bad):
+        config.read(platform_file(tmp_path, **changes))
+
+
+@pytest.mark.parametrize("disk_mb", [float("inf"), float("nan"), 1e300])
+def test_the_same_in_a_file_of_ones_own(disk_mb):
+    told = {"listen": "127.0.0.1:1", "directory": "127.0.0.1:2", "state": "/s", "lanes": {"a": {}}}
+    with pytest.raises(Bad):
+        made(told | {"limits": {"disk_mb": disk_mb}}, Setup)
+
+
+# Guards against a relay that ends on a SIGHUP: an absurd figure, an address that no socket takes.
+@pytest.mark.parametrize(
+    "change",
+    [{"limits": {"disk_mb": 1e308}}, {"discovery": "127.0.0.1:99999"}, {"discovery": "a..b:80"}],
+    ids=str,
+)
+def test_a_relay_outlives_a_sighup_with_absurd_figures(tmp_path, change):
+    town = RelayUnderTest(tmp_path)
+    town.plan = lambda call: (500, {})
+    try:
+        town.start()
+        path = tmp_path / "config.json"
+        told = orjson.loads(path.read_bytes())
+        for name, value in change.items():
+            told[name] = told[name] | value if isinstance(value, dict) else value
+        path.write_bytes(orjson.dumps(told))
+        town.relay.send_signal(signal.SIGHUP)
+        seen = ("configuration not read", "configuration read")
+        assert wait_until(lambda: any(event["event"].startswith(seen) for event in town.events()))
+        assert town.submit("a", "once") == 202  # ends with a notice, which has to find the platform
+        assert wait_until(lambda: town.calls_for("a"))
+        town.configure()
+        town.relay.send_signal(signal.SIGHUP)
+        assert wait_until(lambda: town.notices == [{"id": "a", "state": "failed"}])
+        assert town.relay.poll() is None
+    finally:
+        town.close()
