A list with a field of another type is refused whole, not applied in part

Change: parse_entry takes texts only, parse_address ports only; such a list is a malformed answer like others (the list before it stays in use for the time that the platform grants, the whole list is requested again).

--- a/courseroute/wire/protocol.py
+++ b/courseroute/wire/protocol.py
@@ -10,6 +10,7 @@
 DURATION = re.compile(r"(\d{1,10}(?:\.\d{1,9})?)([mu])")
 STATE_OF_STATUS = {"active": "ready", "leaving": "draining", "left": "gone"}
 NOT_PRINTABLE = re.compile(r"[^\x21-\x7e]")
+MAX_PORT = 65_535
 MAX_REPORT_LENGTH = 512  # characters of a load report; a longer one is not read
 # A name is tried only where a word begins: tried at each letter of a long word, it takes time by its square.
 REPORT_FIELD = re.compile(r"\b(\w+)\s*=\s*([0-9.eE+-]+)")
@@ -107,18 +108,30 @@
 
 def parse_entry(entry, listed_rates):
     """An endpoint of discovery's list as (name, state, zone, rate, kind, destination). The rate is its
-    weight, None unless `listed_rates`."""
+    weight, None unless `listed_rates`. Raises TypeError or ValueError where a field is of another type."""
     rate = float(entry.get("weight") or 0) if listed_rates else None
     return (
-        entry["name"],
+        required_text(entry["name"]),
         STATE_OF_STATUS.get(entry.get("status"), "draining"),
-        entry.get("zone", ""),
+        text_or_empty(entry.get("zone")),
         rate,
-        entry.get("type", ""),
+        text_or_empty(entry.get("type")),
         str(entry.get("group", "")),
     )
 
 
+def required_text(value):
+    """A text that is not empty; TypeError for anything else."""
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"a text: {value!r:.40}")
+    return value
+
+
+def text_or_empty(value):
+    """A text, "" where it is missing; TypeError for anything else."""
+    return "" if value is None or value == "" else required_text(value)
+
+
 def parse_endpoint_list(answer, listed_rates):
     """(index, scope, entries, addresses) of discovery's list; raises ValueError where it is malformed."""
     try:
@@ -129,11 +142,13 @@
             if entry.get("address")
         }
         return int(answer["index"]), "full" if answer.get("snapshot") else "changes", entries, addresses
-    except (KeyError, TypeError, AttributeError) as cause:
+    except (KeyError, TypeError, AttributeError, OverflowError) as cause:
         raise ValueError(f"a list without {cause}") from None
 
 
 def parse_address(address):
-    """(host, port) of an address "host:port"."""
+    """(host, port) of an address "host:port"; ValueError where the port is none."""
     host, _, port = address.rpartition(":")
+    if not 0 <= int(port) <= MAX_PORT:
+        raise ValueError(f"port {port[:20]}")
     return host, int(port)
--- a/tests/test_outside_figures.py
+++ b/tests/test_outside_figures.py
@@ -10,6 +10,42 @@
 from courseroute.model.terms import parse_settings
 from courseroute.run import config
 from courseroute.run.setup import Setup
+from courseroute.wire.discovery import Watch
+
+ENTRY = {"name": "h", "address": "127.0.0.1:80", "zone": "z", "type": "k", "group": 3, "status": "active"}
+
+
+# Guards against a list that is applied in part: all hosts were unlisted and none was listed again.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"type": {}},
+        {"type": 5},
+        {"zone": ["z"]},
+        {"name": 7},
+        {"name": None},
+        {"name": ""},
+        {"status": ["active"]},
+        {"address": "127.0.0.1:99999999"},
+        {"address": "127.0.0.1:-1"},
+        {"address": ["127.0.0.1", 80]},
+        {"weight": [1]},
+        {"weight": "much"},
+    ],
+    ids=str,
+)
+def test_a_list_with_a_field_of_another_type_is_refused_whole(change):
+    told = {"index": 5, "snapshot": True, "endpoints": [ENTRY, ENTRY | {"name": "i"} | change]}
+    with pytest.raises(ValueError):
+        Watch(True, 4).parse_answer(200, orjson.dumps(told))
+
+
+@pytest.mark.parametrize("missing", ["zone", "type", "group", "weight", "status", "address"])
+def test_a_list_without_a_field_that_can_be_missing_is_read(missing):
+    entry = {name: value for name, value in ENTRY.items() if name != missing}
+    told = {"index": 5, "snapshot": True, "endpoints": [entry]}
+    _, entries, _ = Watch(True, 4).parse_answer(200, orjson.dumps(told))
+    assert [name for name, *_ in entries] == ["h"]
 
 
 # Guards against a start or a SIGHUP that never ends: the settings' own count of a list was counted up to.
