--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -756,7 +756,9 @@
     def is_available(self, now, host):
         """Whether a new call may start; a host with an old unanswered attempt gets none."""
         if now < host.not_before:
-            self.schedule(host.not_before, int)  # only wakes the relay: `end_batch` then sends
+            if host.wakes_at != host.not_before:  # once: many batches may come before that time
+                host.wakes_at = host.not_before
+                self.schedule(host.not_before, int)  # only wakes the relay: `end_batch` then sends
             return False
         first = next(iter(host.attempts.values()), None)
         return (
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -90,6 +90,7 @@
     outage_length: int = 0  # how long it last went without a delivery
     ejected_at: int = 0  # when it was last ejected
     not_before: int = 0  # nothing is sent before this time
+    wakes_at: int = 0  # the not_before for which an event is scheduled
     probing: bool = False  # was ejected and has delivered nothing since
     slow_start_since: int | None = None  # start of the slow start after an outage
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -578,6 +578,19 @@
     assert len(relay.dispatcher.events) <= before + 200
 
 
+# Guards against events that pile up, one a batch, while a message waits for a host in its slow start.
+def test_a_host_that_may_not_be_called_yet_has_one_event_however_many_batches_come():
+    relay = DispatcherHarness()
+    host = relay.dispatcher.hosts["a"]
+    host.not_before = relay.now + 10 * S
+    relay.accept()
+    before = len(relay.dispatcher.events)
+    relay.run(9 * S)
+    assert len(relay.dispatcher.events) <= before and not relay.sends()
+    relay.run(S + 10 * MS)
+    assert len(relay.sends()) == 1
+
+
 def test_a_destination_without_told_limits_returns_at_a_part_of_the_pace_it_had():
     """Otherwise it returns at an assumed rate of a third of a send a second, whatever it served before."""
     relay = DispatcherHarness(hosts=(("a", None),), relays=3)
