Learned state is restored only where its values can be a relay's own

Found on the paths related to the reported limit (which stored value brings the state back after a restart): the file of learned state keeps the reported limit, and restore_learned_state set whatever stood there. An absurd limit stored by a build before this one came back at each start; a negative headroom or rate makes the budget negative, times ahead of the clock shrink the headroom, a value of another type raises in every event of that destination, and one malformed record loses all records behind it.

Change: decisions/learned_state.py holds the stored fields with a check each (moved out of decide.py); a record with a value that no relay wrote is skipped and logged, the others are restored; an unbelievable limit alone is forgotten. Older, shorter records are read as before.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -8,7 +8,7 @@
 
 import random
 
-from courseroute.decisions import booking
+from courseroute.decisions import booking, learned_state
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
 from courseroute.decisions.reported_limit import believe_report, is_believable
 from courseroute.model.agenda import Scheduler
@@ -24,8 +24,6 @@
     Lane,
     Message,
     Route,
-    set_values,
-    values_of,
 )
 
 MS = 1_000_000
@@ -72,28 +70,6 @@
 ROUGH_RATE_FACTOR = 1.5  # a rough listed rate may be too high by at most this factor
 # Times after the request to stop: the end of sending, and the exit.
 LAST_SEND_AFTER, EXIT_AFTER = 2400 * MS, 3000 * MS
-# Names of the stored fields, in the order of their values in the stored record; they survive a restart.
-STORED_ROUTE_FIELDS = (
-    "headroom",
-    "learned_rate",
-    "reported_limit",
-    "refused_at",
-    "grown_at",
-    "cut_at",
-    "refuses_all",
-    "wait_until",
-    "usual_rate",
-    "limit_confirmed",
-)
-STORED_HOST_FIELDS = (
-    "evidence",
-    "failing_since",
-    "outage_length",
-    "ejected_at",
-    "not_before",
-    "probing",
-    "slow_start_since",
-)
 # Key of the endpoint list's state among the stored records. No host has this name, so earlier
 # versions skip it.
 ENDPOINT_LIST_KEY = ""
@@ -227,7 +203,11 @@
         """State that a restarted relay restores after the endpoint list. Without it the relay would send
         a burst to hosts that refuse calls or are down."""
         state = [
-            [host.name, values_of(host, STORED_HOST_FIELDS), values_of(host.route, STORED_ROUTE_FIELDS)]
+            [
+                host.name,
+                learned_state.values_of(host, learned_state.HOST_FIELDS),
+                learned_state.values_of(host.route, learned_state.ROUTE_FIELDS),
+            ]
             for host in self.hosts.values()
             if host.probing
             or host.slow_start_since
@@ -238,22 +218,38 @@
         return [*state, [ENDPOINT_LIST_KEY, list_state, []]] if list_state else state
 
     def restore_learned_state(self, now, state, saved_at):
-        """Restores state that was saved at `at`. A wait holds to its end, headroom grows with the state's
-        age, and after FORGET_AFTER no other limit holds."""
+        """Restores state that was saved at `saved_at`. A wait holds to its end, headroom grows with the
+        state's age, and after FORGET_AFTER no other limit holds. Records that are malformed are skipped."""
         age = max(0, now - saved_at) if saved_at else 0
-        for name, host_values, route_values in state:
-            if name == ENDPOINT_LIST_KEY:
-                self.list_schedule.restore_state(host_values)
-            if host := self.hosts.get(name):
-                route = host.route
-                set_values(route, STORED_ROUTE_FIELDS, route_values)
-                route.headroom += max(0.0, MAX_HEADROOM - route.headroom) * min(1.0, age / FORGET_AFTER)
-                if age < FORGET_AFTER:
-                    set_values(host, STORED_HOST_FIELDS, host_values)
-                else:
-                    route.refused_at, route.learned_rate, route.usual_rate = None, 0.0, 0.0
+        for record in state:
+            try:
+                name, host_values, route_values = record
+                self.restore_record(now, age, name, host_values, route_values)
+            except (TypeError, ValueError):
+                self.log("learned state: a malformed record is skipped")
         return self.take_actions()
 
+    def restore_record(self, now, age, name, host_values, route_values):
+        """Restores the record of one host, or of the endpoint list. Raises TypeError or ValueError if it is
+        malformed."""
+        if name == ENDPOINT_LIST_KEY:
+            self.list_schedule.restore_state(host_values)
+        host = self.hosts.get(name)
+        if host is None:
+            return
+        if not (
+            learned_state.are_valid(host_values, learned_state.HOST_FIELDS, now)
+            and learned_state.are_valid(route_values, learned_state.ROUTE_FIELDS, now)
+        ):
+            raise ValueError(name)
+        route = host.route
+        learned_state.restore_route(route, route_values)
+        route.headroom += max(0.0, MAX_HEADROOM - route.headroom) * min(1.0, age / FORGET_AFTER)
+        if age < FORGET_AFTER:
+            learned_state.restore(host, host_values, learned_state.HOST_FIELDS)
+        else:
+            route.refused_at, route.learned_rate, route.usual_rate = None, 0.0, 0.0
+
     def accept(
         self,
         now,
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -69,8 +69,11 @@
     def restore_state(self, state):
         """Restores state after a restart, which must not extend the list's validity. A discovery that
         announced its shutdown stays down for the new process. One that only failed has to fail again for the
-        full time, as it may be crowded."""
-        usable_until, self.announced_shutdown = state
+        full time, as it may be crowded. Raises TypeError or ValueError if the state is malformed."""
+        usable_until, announced_shutdown = state
+        if not (usable_until is None or type(usable_until) is int) or type(announced_shutdown) is not bool:
+            raise TypeError(f"{usable_until!r:.40}, {announced_shutdown!r:.40}")
+        self.announced_shutdown = announced_shutdown
         if usable_until is not None and self.usable_until is not None:
             self.usable_until = min(self.usable_until, usable_until)
 
--- /dev/null
+++ b/courseroute/decisions/learned_state.py
@@ -0,0 +1,103 @@
+"""Which state of hosts and routes a restarted relay restores, and which values it takes from the file.
+
+The file may be of an earlier version, or have been changed by hand: values that the dispatcher can't have
+written are not restored, as it would calculate with them for as long as the process lives.
+
+Times are whole nanoseconds of the caller's clock; rates and limits are sends a second.
+"""
+
+import math
+
+from courseroute.decisions.reported_limit import is_believable
+
+MAX_RATE = 1e9  # sends a second; above all that a relay can send
+MAX_EVIDENCE = 1e9
+
+
+def is_time(value, now):
+    return type(value) is int and value >= 0
+
+
+def is_past(value, now):
+    return is_time(value, now) and value <= now
+
+
+def is_past_or_none(value, now):
+    return value is None or is_past(value, now)
+
+
+def is_flag(value, now):
+    return type(value) is bool
+
+
+def is_rate(value, now):
+    return is_number(value) and 0 <= value <= MAX_RATE
+
+
+def is_evidence(value, now):
+    return is_number(value) and 0 <= value <= MAX_EVIDENCE
+
+
+def is_headroom(value, now):
+    return is_number(value) and 0 <= value <= 1
+
+
+def is_limit_or_none(value, now):
+    return value is None or is_number(value) and value >= 0
+
+
+def is_number(value):
+    return type(value) in (int, float) and math.isfinite(value)
+
+
+# The stored fields, in the order of their values in the stored record, and the check of each. A record may
+# have fewer values, as earlier versions stored fewer.
+ROUTE_FIELDS = {
+    "headroom": is_headroom,
+    "learned_rate": is_rate,
+    "reported_limit": is_limit_or_none,
+    "refused_at": is_past_or_none,
+    "grown_at": is_past,
+    "cut_at": is_past,
+    "refuses_all": is_flag,
+    "wait_until": is_time,
+    "usual_rate": is_rate,
+    "limit_confirmed": is_flag,
+}
+HOST_FIELDS = {
+    "evidence": is_evidence,
+    "failing_since": is_past_or_none,
+    "outage_length": is_past,
+    "ejected_at": is_past,
+    "not_before": is_time,
+    "probing": is_flag,
+    "slow_start_since": is_past_or_none,
+}
+
+
+def values_of(thing, fields):
+    """The values of the stored fields of a host or route."""
+    return [getattr(thing, name) for name in fields]
+
+
+def are_valid(values, fields, now):
+    """Whether a record can be restored: a list with a possible value for each field, or for the first."""
+    return (
+        isinstance(values, list)
+        and len(values) <= len(fields)
+        and all(check(value, now) for value, check in zip(values, fields.values(), strict=False))
+    )
+
+
+def restore(thing, values, fields):
+    """Sets the fields of a host or route from a valid record."""
+    for name, value in zip(fields, values, strict=False):
+        setattr(thing, name, value)
+
+
+def restore_route(route, values):
+    """Sets a route's fields from a valid record. A limit that no destination has counts as unknown: earlier
+    versions stored whatever was reported."""
+    restore(route, values, ROUTE_FIELDS)
+    if route.reported_limit is not None and not is_believable(route.reported_limit):
+        route.reported_limit, route.limit_confirmed = None, False
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -144,14 +144,3 @@
 
     queue: deque = field(default_factory=deque)
     not_before: int = 0
-
-
-def values_of(thing, names):
-    """The values of the named attributes."""
-    return [getattr(thing, name) for name in names]
-
-
-def set_values(thing, names, values):
-    """Sets the named attributes; `values` may be shorter, as earlier versions stored fewer."""
-    for name, value in zip(names, values, strict=False):
-        setattr(thing, name, value)
--- a/tests/test_outside_figures.py
+++ b/tests/test_outside_figures.py
@@ -4,7 +4,7 @@
 
 import orjson
 import pytest
-from helpers import RelayUnderTest, run_counted, wait_until
+from helpers import MS, DispatcherHarness, RelayUnderTest, S, run_counted, wait_until
 
 from courseroute.checked import Bad, made
 from courseroute.model.terms import parse_settings
@@ -124,3 +124,65 @@
         assert town.relay.poll() is None
     finally:
         town.close()
+
+
+def learned_record(host=None, route=None):
+    """A record of learned state, at 1000 s, with some values replaced."""
+    host_values = [0.0, None, 5 * S, 999 * S, 999 * S, True, 999 * S]
+    route_values = [0.5, 3.0, 25.0, 999 * S, 999 * S, 999 * S, False, 0, 2.0, True]
+    for values, changes in ((host_values, host or {}), (route_values, route or {})):
+        for at, value in changes.items():
+            values[at] = value
+    return ["a", host_values, route_values]
+
+
+# Guards against a stored figure that brings a fault back after each restart, until the file is removed.
+@pytest.mark.parametrize(
+    "record",
+    [
+        learned_record(route={0: -1.0}),
+        learned_record(route={0: 1e300}),
+        learned_record(route={1: None}),
+        learned_record(route={1: -3.0}),
+        learned_record(route={1: 1e308}),
+        learned_record(route={3: 5000 * S}),
+        learned_record(route={4: 5000 * S}),
+        learned_record(route={7: "soon"}),
+        learned_record(route={9: 1}),
+        learned_record(host={0: "much"}),
+        learned_record(host={2: None}),
+        learned_record(host={2: -5}),
+        learned_record(host={6: 5000 * S}),
+        ["a", [], "all"],
+        ["a"],
+        [["a"], [], []],
+        "a",
+        7,
+        ["", [1, 2, 3], []],
+        ["", ["soon", True], []],
+    ],
+    ids=str,
+)
+def test_a_learned_state_that_no_relay_wrote_is_not_restored(record):
+    relay, plain = (DispatcherHarness(hosts=[("a", None)]) for _ in range(2))
+    good = ["b", *learned_record()[1:]]
+    relay.dispatcher.restore_learned_state(relay.now, [record, good], relay.now)
+
+    def play(harness):
+        for _ in range(8):
+            name, _ = harness.accept()
+            harness.report_outcome(name, "full")
+        harness.run(500 * MS, 100 * MS)
+        return harness.sends()
+
+    assert run_counted(lambda: play(relay)) == play(plain)
+
+
+@pytest.mark.parametrize("limit", [25e303, 4e-303, 1e9, 1e-9])
+def test_an_absurd_limit_stored_by_an_earlier_version_is_forgotten_alone(limit):
+    relay = DispatcherHarness(hosts=[("a", None)])
+    record = learned_record(route={2: limit})
+    relay.dispatcher.restore_learned_state(relay.now, [["a", record[1], record[2][:9]]], relay.now)
+    route = relay.dispatcher.hosts["a"].route
+    assert route.reported_limit is None and not route.limit_confirmed
+    assert (route.headroom, route.learned_rate, route.refused_at) == (0.5, 3.0, 999 * S)
