A status line in small pieces is no longer searched again with each piece

Found on the paths related to long load reports: while an answer's first line is incomplete, read_first_line ran its pattern over all bytes so far at each read.

The test counts the searched bytes: 2,031,120 for a line of 2,015 before, 2,015 now.

--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -208,10 +208,15 @@
     def read_first_line(self):
         """Rejects bytes that cannot start an answer at once; h11 would wait for the end of a head."""
         head = self.h11.trailing_data[0]
+        self.first_line_status = None
+        if b"\n" not in head:  # not searched: each byte that comes would have all before it read again
+            if not head.startswith(b"HTTP/1."[: len(head)]):
+                raise ProtocolError(400, "no answer's first line")
+            return
         found = FIRST_LINE.match(head)
-        if not found and (b"\n" in head or not head.startswith(b"HTTP/1."[: len(head)])):
+        if not found:
             raise ProtocolError(400, "no answer's first line")
-        self.first_line_status = int(found[1]) if found else None
+        self.first_line_status = int(found[1])
 
     @property
     def begun(self):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,7 +7,7 @@
 from helpers import MS, S
 
 from courseroute.run import config
-from courseroute.wire import protocol
+from courseroute.wire import http, protocol
 from courseroute.wire.discovery import Watch
 from courseroute.wire.http import HttpClientState, ProtocolError, ServerConnection
 
@@ -94,6 +94,23 @@
     assert (call.first_line_status, call.conclusive) == (first, conclusive)
 
 
+# Guards against a status line that comes in small pieces and is searched from its start with each of them.
+def test_a_status_line_is_searched_only_once_it_is_complete(monkeypatch):
+    searched = []
+
+    class Counted:
+        def match(self, head, pattern=http.FIRST_LINE):
+            searched.append(len(head))
+            return pattern.match(head)
+
+    monkeypatch.setattr(http, "FIRST_LINE", Counted())
+    call, line = HttpClientState(4096, 100), b"HTTP/1.1 200 " + b"x" * 2000 + b"\r\n"
+    call.begin("POST", "/hook", [("Host", "h")])
+    for at in range(len(line)):
+        call.feed(line[at : at + 1])
+    assert call.first_line_status == 200 and sum(searched) == len(line)
+
+
 def request_of(change=b"", to=b""):
     """The request POST, parsed, with one text replaced."""
     http = ServerConnection(4096, 100)
