A slow start that the settings let begin at nothing no longer raises

Each failed attempt at such a host raised inside attempt_ended, behind the removal of the attempt: the host was not ejected and the message got no further attempt.

Change: no rate means the longest interval that the outage allows, as for a rate close to nought. The test failed before (ZeroDivisionError).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -898,11 +898,12 @@
             * max(1.0, self.terms.get("overload", 1.0))
             / (ROUGH_RATE_FACTOR if self.terms.get("rough") else 1)
         )
+        interval = S / rate if rate > 0 else FOREVER  # a slow start may begin at nothing
         min_interval = (
-            min(S / rate / host_count, PROBE_SPACING_FACTOR * PROBE_SPACING_FACTOR * EJECTION_TIME)
+            min(interval / host_count, PROBE_SPACING_FACTOR * PROBE_SPACING_FACTOR * EJECTION_TIME)
             / PROBE_SPACING_FACTOR
         )
-        return int(min(S / rate, host_count * max(min_interval, PROBE_SPACING_FACTOR * host.outage_length)))
+        return int(min(interval, host_count * max(min_interval, PROBE_SPACING_FACTOR * host.outage_length)))
 
     def may_send(self, when, message):
         """Whether a further attempt is permitted at that time."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -578,6 +578,17 @@
     assert len(relay.dispatcher.events) <= before + 200
 
 
+# Guards against an exception in each failed attempt where the settings let a slow start begin at nothing.
+def test_a_slow_start_from_nothing_still_probes_and_returns():
+    relay = DispatcherHarness(cold_from=0.0)
+    relay.report_outcome(relay.accept()[0], "unreachable")
+    host = relay.dispatcher.hosts["a"]
+    assert host.probing
+    probe, = actions_named(relay.run(12 * S), "send")
+    relay.report_outcome(probe[1], "delivered", n=1)
+    assert not host.probing
+
+
 # Guards against events that pile up, one a batch, while a message waits for a host in its slow start.
 def test_a_host_that_may_not_be_called_yet_has_one_event_however_many_batches_come():
     relay = DispatcherHarness()
