A learned rate that grows for hours stays finite

Found on the paths related to the reported limit (which sum overflows): where a destination neither reports nor lists a limit, the learned rate grows by a tenth in each second without a refusal and is reset only after a minute without any. With a refusal every 30 s it is 2.9e12 after 5 minutes and infinite after some two hours (Dispatcher under simulated time). From then on the slot inside a second is infinity by infinity and each booking at that destination raises ("fault"): messages wait and end at their deadline. JSON has no infinity, so the learned state keeps null there, and a restart calculated with None.

A restored rate is bounded likewise, null counts as that bound.

Left open: long before that the learned rate says nothing about the limit any more (it is never cut, only the headroom is).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -10,7 +10,7 @@
 
 from courseroute.decisions import booking, learned_state
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
-from courseroute.decisions.reported_limit import believe_report, is_believable
+from courseroute.decisions.reported_limit import MAX_LIMIT, believe_report, is_believable
 from courseroute.model.agenda import Scheduler
 from courseroute.model.causes import CloseCause, HoldCause
 from courseroute.model.histogram import FailureRates, Histogram, SpanCounter
@@ -584,7 +584,7 @@
             # Seconds without deliveries are no evidence of capacity.
             clean_seconds = min(clean_seconds, route.recent_deliveries.highest(now))
             route.headroom = min(MAX_HEADROOM, route.headroom + HEADROOM_GROWTH * clean_seconds)
-            route.learned_rate *= (1 + HEADROOM_GROWTH) ** clean_seconds
+            route.learned_rate = min(MAX_LIMIT, route.learned_rate * (1 + HEADROOM_GROWTH) ** clean_seconds)
         return route.headroom * self.rate_limit(route)
 
     def handle_refusal(self, now, route, wait):
--- a/courseroute/decisions/learned_state.py
+++ b/courseroute/decisions/learned_state.py
@@ -8,9 +8,8 @@
 
 import math
 
-from courseroute.decisions.reported_limit import is_believable
+from courseroute.decisions.reported_limit import MAX_LIMIT, is_believable
 
-MAX_RATE = 1e9  # sends a second; above all that a relay can send
 MAX_EVIDENCE = 1e9
 
 
@@ -31,7 +30,8 @@
 
 
 def is_rate(value, now):
-    return is_number(value) and 0 <= value <= MAX_RATE
+    """None stands for infinity, which JSON does not have; earlier versions let a rate grow to it."""
+    return value is None or is_number(value) and value >= 0
 
 
 def is_evidence(value, now):
@@ -95,9 +95,15 @@
         setattr(thing, name, value)
 
 
+def bounded(rate):
+    """A stored rate, at most the highest limit that is believed."""
+    return MAX_LIMIT if rate is None else min(rate, MAX_LIMIT)
+
+
 def restore_route(route, values):
-    """Sets a route's fields from a valid record. A limit that no destination has counts as unknown: earlier
-    versions stored whatever was reported."""
+    """Sets a route's fields from a valid record. A limit that no destination has counts as unknown, and rates
+    are bounded: earlier versions stored whatever was reported, and rates of any size."""
     restore(route, values, ROUTE_FIELDS)
+    route.learned_rate, route.usual_rate = bounded(route.learned_rate), bounded(route.usual_rate)
     if route.reported_limit is not None and not is_believable(route.reported_limit):
         route.reported_limit, route.limit_confirmed = None, False
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -589,6 +589,22 @@
     assert not host.probing
 
 
+# Guards against a learned rate that grows for hours, becomes infinite and makes every booking raise.
+def test_a_rate_learned_over_hours_stays_finite():
+    relay = refused_relay(hosts=[("a", None)])
+    route = relay.dispatcher.hosts["a"].route
+    for second in range(9000):
+        relay.now += S
+        route.recent_deliveries.add(relay.now)
+        relay.dispatcher.send_budget(relay.now, route)
+        if second % 30 == 0:
+            relay.dispatcher.handle_refusal(relay.now, route, 0)
+    relay.now += 300 * MS
+    name, _ = relay.accept()
+    assert relay.dispatcher.open_messages[name].booking_number
+    assert json.loads(json.dumps(relay.dispatcher.learned_state(relay.now), allow_nan=False))
+
+
 # Guards against events that pile up, one a batch, while a message waits for a host in its slow start.
 def test_a_host_that_may_not_be_called_yet_has_one_event_however_many_batches_come():
     relay = DispatcherHarness()
