--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -27,6 +27,7 @@
     "connection failed",
     "call failed",
     "bytes behind",
+    "load report",
     "folder not",
 )
 ERRORS = ("fault",)
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -19,7 +19,7 @@
 # Errors of a connection that had been established.
 BROKEN_CONNECTION_ERRORS = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)
 DELIVERED = 200
-MAX_BYTES_LOGGED = 40  # of unexpected bytes behind an answer
+MAX_BYTES_LOGGED = 40  # of unexpected bytes behind an answer, of a load report
 ENDINGS_NOT_LOGGED = ("delivered", "full")  # of attempts that repeat none; they are only counted
 
 
@@ -35,6 +35,7 @@
         self.last_delivery = {}  # host -> the Answer to its last delivery that had a body
         # Hosts whose deliveries have different bodies, so that an equal answer is a duplicate.
         self.with_distinct_answers = set()
+        self.unreadable_reports = set()  # hosts of which a load report could not be read
         pool.on_closed = self.record_closed_connection
 
     def call(self, msg, n, host, until):
@@ -87,7 +88,7 @@
             # The status line of a delivery is conclusive, whatever follows it.
             return (
                 protocol.classify_answer(call.first_line_status, call.headers),
-                protocol.parse_load_report(call.headers.get("x-load")),
+                self.read_load_report(attempt.host, call.headers.get("x-load", "")),
             )
         if attempt.sent_ns is None:  # it surely did not run
             held = attempt.hold_cause or scope.cancelled_caught and not expired
@@ -100,6 +101,17 @@
             return ("timeout" if expired else "cancelled", 0, False), None
         return ("stale" if attempt.idle_ns is not None and not call.begun else "reset", 0, False), None
 
+    def read_load_report(self, host, text):
+        """The values of a load report, None where there is none or it can't be read. All that can't be read
+        are counted, the first one of a host is logged."""
+        report = protocol.parse_load_report(text)
+        if report is None and text:
+            self.tracker.metrics.count("load reports", "not read")
+            if host not in self.unreadable_reports:
+                self.unreadable_reports.add(host)
+                self.log("load report not read", host=host, length=len(text), text=text[:MAX_BYTES_LOGGED])
+        return report
+
     def record_attempt(self, attempt, ending):
         """Counts an attempt by its ending. Logs it with its times, unless it repeats no other and ended as
         most do."""
@@ -164,12 +176,13 @@
         self.last_delivery[host] = answer
         if last is not None and last.checksum != answer.checksum:
             self.with_distinct_answers.add(host)
-        if len(self.last_delivery) > len(self.addresses):
+        if max(len(self.last_delivery), len(self.unreadable_reports)) > len(self.addresses):
             self.forget_unlisted()
 
     def forget_unlisted(self):
         """Drops what is kept of hosts that left the list; their ids are never used again."""
         self.with_distinct_answers &= self.addresses.keys()
+        self.unreadable_reports &= self.addresses.keys()
         self.last_delivery = {
             host: self.last_delivery[host] for host in self.last_delivery if host in self.addresses
         }
--- a/tests/test_outside_figures.py
+++ b/tests/test_outside_figures.py
@@ -196,3 +196,19 @@
     name, _ = relay.accept()
     assert relay.dispatcher.hosts["a"].route.learned_rate == MAX_LIMIT
     assert relay.dispatcher.open_messages[name].route or relay.sends()
+
+
+# Guards against load reports that can't be read and look like none, in the log and in the metrics.
+def test_load_reports_that_cannot_be_read_are_logged_once_for_a_host_and_counted(tmp_path):
+    town = RelayUnderTest(tmp_path, hosts=("h1",))
+    town.plan = lambda call: (200, {"X-Load": "noise" * 200})
+    try:
+        town.start()
+        assert [town.submit(name) for name in ("a", "b", "c")] == [202] * 3
+        assert wait_until(lambda: len(town.calls) == 3)
+        town.end(signal.SIGTERM)
+        lines = [event for event in town.events() if event["event"] == "load report not read"]
+        assert [(line["host"], line["length"], line["level"]) for line in lines] == [("h1", 1000, "warning")]
+        assert town.events()[-2]["load reports.not read"] == 3
+    finally:
+        town.close()
