The next message of a key waits for the notice of the failed one ahead of it

Cause: the dispatcher passed a key on when it decided a message's end (complete_message, leave_key_queue), while on sockets a message that is not delivered is over when the platform has accepted its notice, which the tracker only queues after that decision. Ruled out: rests of a key (none is set), restarts (none in the case).

Change: where messages end by notice (`ends_by_notice`, set on sockets only), a closed message stays at the head of its key until `final_statuses_accepted` names it, or until 1 s after its final answer was due, so that no key stalls for ever.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -68,6 +68,9 @@
 # divided by the last number.
 LOSS_THRESHOLD, LOSS_SMOOTHING, TIMEOUT_DIVISOR = 0.1, 0.05, 2
 ROUGH_RATE_FACTOR = 1.5  # a rough listed rate may be too high by at most this factor
+# A key waits for the notice of its closed message up to this long after the notice was due: by then the
+# reserve of the final answer and the tolerance of the protocol are over.
+KEY_HELD_AFTER_DEADLINE = 1 * S
 # Times after the request to stop: the end of sending, and the exit.
 LAST_SEND_AFTER, EXIT_AFTER = 2400 * MS, 3000 * MS
 # Key of the endpoint list's state among the stored records. No host has this name, so earlier
@@ -122,6 +125,7 @@
             RouteQueues(self.schedule),
             {},
         )
+        self.awaiting_notice = {}  # name -> closed message whose key waits until its notice is accepted
         self.to_rank, self.lost_share, self.area_durations, self.hosts_added = {}, {}, {}, 0
         # Lost calls by the connection's idle time, 0 if new.
         self.idle_losses = FailureRates(DURATION_EDGES[::3], 4 * HISTOGRAM_CAP)
@@ -297,6 +301,14 @@
             self.book_slot(now, message)
         return self.take_actions()
 
+    def final_statuses_accepted(self, now, names):
+        """The final statuses of these messages are known outside: their notices were accepted, or they were
+        the answers to their clients."""
+        for name in names:
+            if message := self.awaiting_notice.get(name):
+                self.release_key(now, message)
+        return self.take_actions()
+
     def withdraw(self, now, name):
         """Closes a message that its client no longer wants."""
         if name in self.open_messages:
@@ -543,10 +555,32 @@
         return self.book_next_of_key(now, message.key)
 
     def leave_key_queue(self, now, message):
-        """Removes a closed message without open attempts; the next of its key follows after the ordering
+        """Forgets a closed message without open attempts. It leaves its key's queue once it is over."""
+        if self.open_messages.pop(message.name, None) and not message.awaits_notice:
+            self.pass_key_on(now, message)
+
+    def hold_key(self, message):
+        """Keeps a message that ends with a notice in its key's queue until the notice is accepted: it is not
+        over before. Not for ever, as the platform may be down: a message whose notice is that late is lost,
+        and its key goes on."""
+        message.awaits_notice = True
+        self.awaiting_notice[message.name] = message
+        self.schedule(message.deadline + KEY_HELD_AFTER_DEADLINE, self.release_key, message)
+
+    def release_key(self, now, message):
+        """Ends the wait that `hold_key` began."""
+        if not message.awaits_notice:
+            return
+        message.awaits_notice = False
+        if self.awaiting_notice.get(message.name) is message:
+            del self.awaiting_notice[message.name]
+        if self.open_messages.get(message.name) is not message:
+            self.pass_key_on(now, message)
+
+    def pass_key_on(self, now, message):
+        """Removes a message that is over from its key's queue; the next of its key follows after the ordering
         gap."""
-        key_queue = self.key_queues.get(message.key)
-        if self.open_messages.pop(message.name, None) and key_queue:
+        if key_queue := self.key_queues.get(message.key):
             # A message that was not admitted is not in the queue.
             if message in key_queue.queue:
                 key_queue.queue.remove(message)
@@ -967,6 +1001,8 @@
                 for number in range(message.attempts_made)
                 if (message.name, number) in self.attempts
             ]
+        if message.key and message.lane.ordered and self.terms.get("ends_by_notice"):
+            self.hold_key(message)
         self.complete_message(now, message)
 
     def complete_message(self, now, message):
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -37,6 +37,8 @@
     earlier_attempt(name, number)
         Returns (dispatch time, idempotency window) of the first attempt that may have run if this attempt
         repeats it, else None.
+    final_statuses_accepted(now, names)
+        The final statuses of these messages are known outside the relay.
     stop(now)
         The relay is requested to shut down.
     wake(now)
@@ -69,6 +71,7 @@
 
     relays, number (this relay's index among them, from 0), area, slots, room, legs, cancel, copies,
     stay_away (longest retry delay that clients observe), tick, connect_within, idle_close,
+    ends_by_notice (a message that is rejected or failed is over once `final_statuses_accepted` names it),
     drain_grace, ask (the list has to be requested), ask_within, notified_within (each call for the list is
     one exchange, and relays count as notified of a change so long after it was made), moved_notified_within
     (the same after discovery changed its address), cold, cold_from, overload, fall,
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -42,6 +42,7 @@
     may_have_run: bool = False  # the outcome of some attempt does not rule it out
     last_host: object = None
     is_closed: bool = False
+    awaits_notice: bool = False  # closed, and its key waits until its notice is accepted
 
 
 @dataclass(slots=True, eq=False)
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -76,6 +76,7 @@
     terms = setup.terms()
     terms["ask"] = True  # over sockets, discovery sends the list only on request
     terms |= {"notified_within": NOTIFIED_WITHIN, "moved_notified_within": MOVED_NOTIFIED_WITHIN}
+    terms["ends_by_notice"] = True
     return {
         "name": setup.name,
         "listen": parse_address(setup.listen),
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -393,11 +393,13 @@
         tries again. A message that is not acknowledged yet gets the state as its answer, else a notice."""
         msg = self.held.get(name)
         if msg is None:
+            self.notify_dispatcher("final_statuses_accepted", [name])
             return
         msg.ending = state, after
         self.metrics.count("closed", cause)
         if not msg.persisted:  # its client still waits for the answer, which reports the state
             self.remove(msg, state)
+            self.notify_dispatcher("final_statuses_accepted", [name])
             return
         self.log_event(
             "message closed",
@@ -433,6 +435,7 @@
             self.record_notice(name, self.notice_deadlines.pop(name, None))
         self.reserve(-sum(NOTICE_RECORD_BYTES + len(name) for name in names))
         self.try_write(*(self.journal.over(name, self.pending_notices.pop(name)[0]) for name in names))
+        self.notify_dispatcher("final_statuses_accepted", names)
 
     def record_notice(self, name, deadline):
         """Counts an accepted notice as in time or late; logs a late one."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -351,6 +351,45 @@
     assert not actions_named(relay.accept()[1], "send")
 
 
+def key_with_a_closed_message(**settings):
+    """A relay where the first of two messages of a key was closed at its deadline; the relay and both."""
+    relay = DispatcherHarness(**settings)
+    first, _ = relay.accept("ordered", "k", left=2 * S)
+    second, _ = relay.accept("ordered", "k")
+    relay.run(2 * S - 5 * MS)
+    assert relay.dispatcher.hosts["a"].attempts
+    relay.report_outcome(first, "cancelled")
+    return relay, first, second
+
+
+def is_sent(relay, name):
+    return name in [action[2] for action in relay.sends()]
+
+
+# Guards against a message sent while the platform has not accepted the notice of the one ahead in its key.
+def test_the_next_of_a_key_waits_until_the_notice_of_a_closed_message_is_accepted():
+    relay, first, second = key_with_a_closed_message(ends_by_notice=True)
+    relay.run(900 * MS)
+    relay.apply("final_statuses_accepted", ["another"])
+    assert not is_sent(relay, second)
+    relay.apply("final_statuses_accepted", [first])
+    relay.run(S)        # the rest of the key behind an attempt that may have run
+    assert is_sent(relay, second)
+
+
+def test_a_key_goes_on_though_the_platform_accepts_no_notice():
+    relay, _, second = key_with_a_closed_message(ends_by_notice=True)
+    assert not is_sent(relay, second)
+    relay.run(3 * S)
+    assert is_sent(relay, second) and not relay.dispatcher.awaiting_notice
+
+
+def test_without_notices_the_next_of_a_key_follows_at_once():
+    relay, _, second = key_with_a_closed_message()
+    relay.run(S + 5 * MS)
+    assert is_sent(relay, second)
+
+
 @pytest.mark.parametrize("ending, rest", [("delivered", 0), ("full", 0), ("timeout", S), ("stale", S)])
 def test_order_by_key(ending, rest):
     relay = DispatcherHarness()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -117,6 +117,9 @@
         self.told.append(told)
         return []
 
+    def final_statuses_accepted(self, now, names):
+        return []
+
     def end_batch(self, now):
         return []
 
