A load report leaves the count of deliveries as it is

The comparison of a first report with what was just served read the counter of deliveries at each report, and reading it begins a new span: reports moved the spans, and with them how fast budgets grow. Found by reading the change; the counter is looked at now and left as it is. The test failed before (a span begun at the report).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -395,7 +395,7 @@
         if not (message.may_have_run or message.pending):
             message.first_uncertain_at = None
         if report:
-            believe_report(route, report["limit"], route.recent_deliveries.highest(now))
+            believe_report(route, report["limit"], route.recent_deliveries.peek_highest(now))
         only_refusals = ending == "full" and self.handle_refusal(now, route, wait)
         if ending == "delivered":
             host.durations.add(duration)
--- a/courseroute/model/histogram.py
+++ b/courseroute/model/histogram.py
@@ -80,6 +80,12 @@
         self.roll(now)
         self.count += 1
 
+    def peek_highest(self, now):
+        """As `highest`, and leaves the spans as they are."""
+        if now < self.start + self.span:
+            return max(self.count, self.last)
+        return self.count if now < self.start + 2 * self.span else 0
+
     def highest(self, now):
         """The larger count of the last full span and the running one."""
         self.roll(now)
--- a/tests/test_reported_limit.py
+++ b/tests/test_reported_limit.py
@@ -5,6 +5,8 @@
 import pytest
 from helpers import MS, DispatcherHarness, S, actions_named
 
+from courseroute.model.histogram import SpanCounter
+
 FAR_OFF = [999_999.0, 1000.0, 0.02, 1e-9, 4e-303, 25e303, math.inf, math.nan, -5.0]
 
 
@@ -85,3 +87,24 @@
     assert relay.dispatcher.hosts["a"].listed_rate is None
     assert reports(relay, [25.0], ending="full").reported_limit == 25.0
     assert relay.dispatcher.send_budget(relay.now, relay.dispatcher.hosts["a"].route) <= 25.0
+
+
+# Guards against reports that shift the spans in which deliveries are counted, and so the growth of budgets.
+def test_a_report_leaves_the_count_of_deliveries_as_it_is():
+    def spans(limit):
+        relay = DispatcherHarness(hosts=[("a", None)])
+        reports(relay, [None] * 5)
+        relay.now += 1200 * MS
+        counter = reports(relay, [limit] * 2, ending="error").recent_deliveries
+        return counter.start, counter.count, counter.last
+
+    assert spans(25.0) == spans(None)
+
+
+def test_looking_at_a_counter_gives_what_reading_it_gives():
+    for after in (0, 500 * MS, S, 1500 * MS, 2 * S, 3 * S):
+        looked, read = SpanCounter(S), SpanCounter(S)
+        for at in (10 * S, 10 * S + 100 * MS, 11 * S + 50 * MS):
+            looked.add(at)
+            read.add(at)
+        assert looked.peek_highest(11 * S + 50 * MS + after) == read.highest(11 * S + 50 * MS + after)
