Test of reused connections: one host, so that the ranking can't bring a third connection

Trace: the default has two hosts, and the ranking is renewed a second after the start, when the unmeasured host comes first. With the messages submitted 0.3 and 0.6 s after the start there are three and four connections, the later calls at h2; with one host there are two at 0, 0.3, 0.6 and 0.9 s.

Change: one host, the same bound.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -301,8 +301,9 @@
         town.close()
 
 
+# One host: a second one gets calls, and connections of its own, once the ranking of hosts is renewed.
 def test_successive_calls_reuse_the_connection(tmp_path):
-    town = RelayUnderTest(tmp_path, slots=1)
+    town = RelayUnderTest(tmp_path, slots=1, hosts=("h1",))
     try:
         town.plan = lambda call: time.sleep(0.1) or (200, {})
         town.start()
