An endpoint list with an overlong name, zone or type is refused whole

Change: at most 256 characters, as for clients' names; such a list is a malformed answer like others. The three new cases failed before (the list was read); an address with a port of 300 digits was refused already.

--- a/courseroute/wire/protocol.py
+++ b/courseroute/wire/protocol.py
@@ -11,6 +11,7 @@
 STATE_OF_STATUS = {"active": "ready", "leaving": "draining", "left": "gone"}
 NOT_PRINTABLE = re.compile(r"[^\x21-\x7e]")
 MAX_PORT = 65_535
+MAX_FIELD_LENGTH = 256  # characters of an endpoint's name, zone or type; attempts are recorded by name
 MAX_REPORT_LENGTH = 512  # characters of a load report; a longer one is not read
 # A name is tried only where a word begins: tried at each letter of a long word, it takes time by its square.
 REPORT_FIELD = re.compile(r"\b(\w+)\s*=\s*([0-9.eE+-]+)")
@@ -121,14 +122,14 @@
 
 
 def required_text(value):
-    """A text that is not empty; TypeError for anything else."""
-    if not isinstance(value, str) or not value:
+    """A text that is not empty and of at most MAX_FIELD_LENGTH characters; TypeError for anything else."""
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_FIELD_LENGTH:
         raise TypeError(f"a text: {value!r:.40}")
     return value
 
 
 def text_or_empty(value):
-    """A text, "" where it is missing; TypeError for anything else."""
+    """A text as above, "" where it is missing or empty; TypeError for anything else."""
     return "" if value is None or value == "" else required_text(value)
 
 
--- a/tests/test_outside_figures.py
+++ b/tests/test_outside_figures.py
@@ -26,6 +26,10 @@
         {"name": 7},
         {"name": None},
         {"name": ""},
+        {"name": "h" * 300},
+        {"zone": "z" * 300},
+        {"type": "k" * 300},
+        {"address": "127.0.0.1:" + "9" * 300},
         {"status": ["active"]},
         {"address": "127.0.0.1:99999999"},
         {"address": "127.0.0.1:-1"},
@@ -33,7 +37,7 @@
         {"weight": [1]},
         {"weight": "much"},
     ],
-    ids=str,
+    ids=lambda value: str(value)[:60],
 )
 def test_a_list_with_a_field_of_another_type_is_refused_whole(change):
     told = {"index": 5, "snapshot": True, "endpoints": [ENTRY, ENTRY | {"name": "i"} | change]}
@@ -84,7 +88,7 @@
         {"settings": {"over-share-worth": "nan"}},
         {"settings": {"tick": "1e5"}},
     ],
-    ids=str,
+    ids=lambda value: str(value)[:60],
 )
 def test_figures_that_no_installation_has_are_mistakes_of_the_file(tmp_path, changes):
     with pytest.raises(Bad):
@@ -102,7 +106,7 @@
 @pytest.mark.parametrize(
     "change",
     [{"limits": {"disk_mb": 1e308}}, {"discovery": "127.0.0.1:99999"}, {"discovery": "a..b:80"}],
-    ids=str,
+    ids=lambda value: str(value)[:60],
 )
 def test_a_relay_outlives_a_sighup_with_absurd_figures(tmp_path, change):
     town = RelayUnderTest(tmp_path)
@@ -161,7 +165,7 @@
         ["", [1, 2, 3], []],
         ["", ["soon", True], []],
     ],
-    ids=str,
+    ids=lambda value: str(value)[:60],
 )
 def test_a_learned_state_that_no_relay_wrote_is_not_restored(record):
     relay, plain = (DispatcherHarness(hosts=[("a", None)]) for _ in range(2))
