Comments and names of the new decision modules for a first reading

Found by reading the whole change once more: checks without a docstring, the reason why stored fields are only added at the end (lost when they moved), a name that needed explaining (names_size_of_a_message, pass_key_on), two comments that needed a second reading. Nothing but names and comments changes; the six test files of these parts pass (492 tests).

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -557,7 +557,7 @@
     def leave_key_queue(self, now, message):
         """Forgets a closed message without open attempts. It leaves its key's queue once it is over."""
         if self.open_messages.pop(message.name, None) and not message.awaits_notice:
-            self.pass_key_on(now, message)
+            self.release_turn(now, message)
 
     def hold_key(self, message):
         """Keeps a message that ends with a notice in its key's queue until the notice is accepted: it is not
@@ -575,11 +575,11 @@
         if self.awaiting_notice.get(message.name) is message:
             del self.awaiting_notice[message.name]
         if self.open_messages.get(message.name) is not message:
-            self.pass_key_on(now, message)
+            self.release_turn(now, message)
 
-    def pass_key_on(self, now, message):
-        """Removes a message that is over from its key's queue; the next of its key follows after the ordering
-        gap."""
+    def release_turn(self, now, message):
+        """Removes a message that is over from its key's queue; the next one of the key gets its turn after
+        the ordering gap."""
         if key_queue := self.key_queues.get(message.key):
             # A message that was not admitted is not in the queue.
             if message in key_queue.queue:
--- a/courseroute/decisions/booking.py
+++ b/courseroute/decisions/booking.py
@@ -18,8 +18,9 @@
 
 
 def used_up_by(budget, elapsed):
-    """The sends that a second no longer has room for after `elapsed` of its nanoseconds: slots that passed
-    unused are not made up for in a burst. Less than the budget, so that the second's last slot stays free."""
+    """The sends that count as booked in the current second because their slots have passed, `elapsed`
+    nanoseconds after its start: unused slots are not made up for in a burst. At most one less than the
+    budget, as the last slot of a second has not passed before its end."""
     return min(budget * (elapsed / S) - 1, budget - 1)
 
 
--- a/courseroute/decisions/learned_state.py
+++ b/courseroute/decisions/learned_state.py
@@ -14,44 +14,53 @@
 
 
 def is_time(value, now):
+    """Whether a value is a time or a duration. Each check takes the current time, though few need it."""
     return type(value) is int and value >= 0
 
 
 def is_past(value, now):
+    """Whether a value is a time that has come, or a duration no longer than the clock's reading."""
     return is_time(value, now) and value <= now
 
 
 def is_past_or_none(value, now):
+    """As `is_past`, or None for what has not happened."""
     return value is None or is_past(value, now)
 
 
 def is_flag(value, now):
+    """Whether a value is true or false, and no number."""
     return type(value) is bool
 
 
 def is_rate(value, now):
-    """None stands for infinity, which JSON does not have; earlier versions let a rate grow to it."""
+    """Whether a value is a rate. None stands for infinity, which JSON does not have; earlier versions let a
+    rate grow to it."""
     return value is None or is_number(value) and value >= 0
 
 
 def is_evidence(value, now):
+    """Whether a value is the sum of the sequential test for outages."""
     return is_number(value) and 0 <= value <= MAX_EVIDENCE
 
 
 def is_headroom(value, now):
+    """Whether a value is a share of a limit."""
     return is_number(value) and 0 <= value <= 1
 
 
 def is_limit_or_none(value, now):
+    """Whether a value may have been reported as a limit, believable or not; None where none was."""
     return value is None or is_number(value) and value >= 0
 
 
 def is_number(value):
+    """Whether a value is a finite number, and no flag."""
     return type(value) in (int, float) and math.isfinite(value)
 
 
-# The stored fields, in the order of their values in the stored record, and the check of each. A record may
-# have fewer values, as earlier versions stored fewer.
+# The stored fields, in the order of their values in the stored record, and the check of each. New fields go
+# to the end: records of earlier versions have fewer values, and are read by position.
 ROUTE_FIELDS = {
     "headroom": is_headroom,
     "learned_rate": is_rate,
--- a/courseroute/decisions/reported_limit.py
+++ b/courseroute/decisions/reported_limit.py
@@ -46,4 +46,5 @@
 
 
 def is_far_below(limit, served):
+    """Whether a limit of all relays is contradicted by what this one alone was just served."""
     return served > MAX_RATIO * limit
--- a/courseroute/journal/frames.py
+++ b/courseroute/journal/frames.py
@@ -160,7 +160,7 @@
     so a head that names more than any record of a message has is passed over without a checksum."""
     while (at := data.find(RECORD, at)) >= 0:
         try:
-            if names_size_of_a_message(data, at) and parse_record(data, at, salt):
+            if may_be_message_head(data, at) and parse_record(data, at, salt):
                 return at
         except IndexError:
             pass
@@ -168,7 +168,7 @@
     return None
 
 
-def names_size_of_a_message(data, at):
+def may_be_message_head(data, at):
     """Whether what stands at offset `at` can be the head of a message's record; True if it is cut off."""
     if len(data) - at < HEAD.size:
         return True
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -209,7 +209,7 @@
         """Rejects bytes that cannot start an answer at once; h11 would wait for the end of a head."""
         head = self.h11.trailing_data[0]
         self.first_line_status = None
-        if b"\n" not in head:  # not searched: each byte that comes would have all before it read again
+        if b"\n" not in head:  # a search at each read would go through all earlier bytes again
             if not head.startswith(b"HTTP/1."[: len(head)]):
                 raise ProtocolError(400, "no answer's first line")
             return
