--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -7,6 +7,7 @@
 copying it while one of those segments exists. Called by `state.tracker`, which supplies the live records of a
 message (`refresh`), and by `run.relay`, which runs compaction (`step`).
 """
+
 import random
 import time
 from typing import NamedTuple
@@ -15,10 +16,10 @@
 from courseroute.journal.frames import BACK, CALL, MEMORY, OVER, OWED, TAKEN, record
 
 PREFIX = "seg-"
-MAX_URGENT_SLICES = 16      # compaction slices run in a row before a record is refused for lack of space
-ENTRIES_PER_YIELD = 256     # messages examined between two checks of the clock
+MAX_URGENT_SLICES = 16  # compaction slices run in a row before a record is refused for lack of space
+ENTRIES_PER_YIELD = 256  # messages examined between two checks of the clock
 ATTEMPT_KINDS = (CALL, BACK)
-DAMAGE = b"?"               # the kind that `read` yields for a range that could not be read
+DAMAGE = b"?"  # the kind that `read` yields for a range that could not be read
 
 
 class Full(Exception):
@@ -28,6 +29,7 @@
 class DamagedRange(NamedTuple):
     """A byte range that could not be read. It may have held attempts and closing records of messages that
     were accepted earlier."""
+
     segment: int
     at: int
     size: int
@@ -41,13 +43,19 @@
     of the segments that contain its accepting record or the record of its pending notice, including
     superseded copies; `notice_pending`: its final notice is not yet acknowledged.
     """
+
     __slots__ = ("first_segment", "first_bytes", "other_bytes", "holding_segments", "notice_pending")
 
     def __init__(self, number, holding_segments=(), notice_pending=False):
         self.first_segment, self.first_bytes, self.other_bytes, self.notice_pending = (
-            number, 0, None, notice_pending)
+            number,
+            0,
+            None,
+            notice_pending,
+        )
         self.holding_segments = (
-            (*holding_segments, number) if number not in holding_segments else holding_segments)
+            (*holding_segments, number) if number not in holding_segments else holding_segments
+        )
 
     def add(self, number, size):
         """Adds `size` live bytes in segment `number`."""
@@ -81,16 +89,16 @@
         self.disk, self.most, self.relay, self.syncs, self.clock = disk, most, relay, syncs, clock
         self.make_salt, self.salt = make_salt, 0
         self.max_segment_bytes = plan.segment_size(most)
-        self.always_fits_below = most - plan.reserve(most) - plan.SECTOR_BYTES   # total size in bytes
-        self.segments = {}              # number -> [size, live bytes]
+        self.always_fits_below = most - plan.reserve(most) - plan.SECTOR_BYTES  # total size in bytes
+        self.segments = {}  # number -> [size, live bytes]
         # closing_by_segment: segment -> [(segment of a closing record that lists it, bytes of that record)]
         self.entries, self.closing_by_segment = {}, {}
         self.handle, self.newest, self.live = None, 0, 0
         self.refresh = None
         self.remembered = None
-        self.compaction = None          # the generator of the compaction in progress
-        self.total_bytes, self.dead_bytes_checked = 0, 0    # the second: at the last search without a victim
-        self.unsynced_handles = []      # handles of closed segments that are not synced yet
+        self.compaction = None  # the generator of the compaction in progress
+        self.total_bytes, self.dead_bytes_checked = 0, 0  # the second: at the last search without a victim
+        self.unsynced_handles = []  # handles of closed segments that are not synced yet
         self.has_unsynced, self.losses, self.compacted, self.copied, self.written = False, [], 0, 0, 0
 
     # Reading.
@@ -119,7 +127,7 @@
                 if one.kind is not None:
                     self.account(one.kind, one.told, number, one.end - one.at)
                     yield one.kind, one.told, one.body
-                elif one.torn or last and one.end == len(data) and data[one.at:one.at + 2] != frames.RECORD:
+                elif one.torn or last and one.end == len(data) and data[one.at : one.at + 2] != frames.RECORD:
                     self.disk.cut(name, one.at)
                     self.set_segment_size(number, one.at)
                 else:
@@ -142,14 +150,14 @@
     def is_torn_header(self, data, name):
         """Whether a crash during the creation of a segment left a partial header. All of the header is known
         except the salt."""
-        begin = frames.header(self.segment_number(name), self.relay, 0)[:len(data)]
-        return len(data) < frames.HEADER.size and data[:frames.SALT_AT] == begin[:frames.SALT_AT]
+        begin = frames.header(self.segment_number(name), self.relay, 0)[: len(data)]
+        return len(data) < frames.HEADER.size and data[: frames.SALT_AT] == begin[: frames.SALT_AT]
 
     def convert_legacy_log(self, names):
         """Converts the single-file log of an earlier version. Segments found beside that log come from an
         interrupted conversion and are discarded."""
         for name in self.segment_names():
-            frames.header_of(self.disk.read(name, 0, 64), name)     # raises Newer before anything is removed
+            frames.header_of(self.disk.read(name, 0, 64), name)  # raises Newer before anything is removed
             self.disk.remove(name)
         for kind, fields, body in old.records(self.disk.read(old.NAME)):
             self.write(record(kind, fields, body))
@@ -204,7 +212,8 @@
             return
         size, reserved = sum([part.size for part in parts]), parts[0].kind == TAKEN
         if self.total_bytes + size > self.always_fits_below and not plan.fits(
-                self.total_bytes, size, self.most, reserved):
+            self.total_bytes, size, self.most, reserved
+        ):
             self.free_space(size, reserved)
             if not plan.fits(self.total_bytes, size, self.most, reserved):
                 raise Full("the journal is full")
@@ -217,8 +226,11 @@
         newest one has reached its maximum size."""
         if self.handle is None or self.segments[self.newest][0] >= self.max_segment_bytes:
             self.begin()
-        data = parts[0].sealed(self.salt) if len(parts) == 1 else b"".join(
-            [part.sealed(self.salt) for part in parts])
+        data = (
+            parts[0].sealed(self.salt)
+            if len(parts) == 1
+            else b"".join([part.sealed(self.salt) for part in parts])
+        )
         segment, size = self.segments[self.newest], len(data)
         start = segment[0]
         try:
@@ -383,7 +395,7 @@
                 if existing or self.remembered(one.told[0]):
                     self.copy_records([record(OVER, [*one.told[:2], *existing])])
             yield
-        if self.syncs:      # the copies must be on disk first, whatever a concurrent sync has covered so far
+        if self.syncs:  # the copies must be on disk first, whatever a concurrent sync has covered so far
             self.sync()
         self.disk.remove(self.segment_name(number))
         self.segment_removed(number)
@@ -424,8 +436,9 @@
 
     def sync(self):
         """Syncs everything written so far to disk; raises OSError if that fails."""
-        handles = ([*self.unsynced_handles, self.handle] if self.handle is not None
-                   else self.unsynced_handles[:])
+        handles = (
+            [*self.unsynced_handles, self.handle] if self.handle is not None else self.unsynced_handles[:]
+        )
         for handle in handles:
             self.disk.sync(handle)
         self.disk.sync_folder()
--- a/courseroute/journal/torture.py
+++ b/courseroute/journal/torture.py
@@ -7,6 +7,7 @@
 `make torture-journal` (random scripts and crash points, full disks). `Model` records what was acknowledged; a
 recovered tracker is checked against it.
 """
+
 import itertools
 import os
 import random
@@ -25,10 +26,10 @@
 from courseroute.state.tracker import MessageTracker
 
 MAX_JOURNAL_BYTES = 60_000
-CLOCK_STEP_NS = 300_000     # advance per clock reading: a compaction slice copies a few records
+CLOCK_STEP_NS = 300_000  # advance per clock reading: a compaction slice copies a few records
 NOT_RUN_ENDING = "full"
-WRITE_COUNT_BYTES = 8       # size of the counter that a writer reports after each write
-MAX_WRITES_AWAITED = 3      # before a writer is killed
+WRITE_COUNT_BYTES = 8  # size of the counter that a writer reports after each write
+MAX_WRITES_AWAITED = 3  # before a writer is killed
 
 
 class IdleDispatcher:
@@ -59,10 +60,15 @@
     salts = itertools.count(7)
     journal = Journal(disk, most, "n0", syncs, lambda: next(ticks), lambda: next(salts))
     events = []
-    tracker = MessageTracker(IdleDispatcher(), {"lanes": {"a": {}}, "legs": 2},
-                             RELAY_LIMITS | {"max_recent_ends": 4}, journal, 1 << 30,
-                             lambda: next(ticks),
-                             lambda event, **fields: events.append((event, fields)))
+    tracker = MessageTracker(
+        IdleDispatcher(),
+        {"lanes": {"a": {}}, "legs": 2},
+        RELAY_LIMITS | {"max_recent_ends": 4},
+        journal,
+        1 << 30,
+        lambda: next(ticks),
+        lambda event, **fields: events.append((event, fields)),
+    )
     tracker.hosts = tracker.notices = NoOp()
     tracker.ready, tracker.events = True, events
     tracker.recover()
@@ -80,16 +86,33 @@
 
     def __init__(self):
         self.open_messages, self.pending_notices, self.closed, self.interrupted, self.unwritten = (
-            {}, {}, set(), set(), set())
+            {},
+            {},
+            set(),
+            set(),
+            set(),
+        )
 
     def apply(self, tracker, what, name, size):
         """Runs one operation on the tracker and records its result once it has returned."""
         self.interrupted.add(name)
         if what == "accept":
-            message = {"name": name, "dst": "7", "lane": "a", "time_left": 10 ** 10, "mark": "m",
-                       "customer": "", "key": "", "again": False, "body": (name.encode() * size)[:size]}
-            if (tracker.accept(message, False)[0] == 202 and name not in self.closed
-                    and name not in self.pending_notices):
+            message = {
+                "name": name,
+                "dst": "7",
+                "lane": "a",
+                "time_left": 10**10,
+                "mark": "m",
+                "customer": "",
+                "key": "",
+                "again": False,
+                "body": (name.encode() * size)[:size],
+            }
+            if (
+                tracker.accept(message, False)[0] == 202
+                and name not in self.closed
+                and name not in self.pending_notices
+            ):
                 self.open_messages.setdefault(name, [])
         elif name in tracker.held and what == "send":
             count = len(tracker.held[name].attempts)
@@ -139,15 +162,17 @@
                 endings = [ending for _, _, ending in tracker.held[name].attempts]
                 sent = {n for n, ending in enumerate(endings) if ending != "unsent"}
                 assert sent.issuperset(attempts), f"{name}: a sent attempt is missing"
-                assert tracker.held[name].body == (name.encode() * 4000)[:len(tracker.held[name].body)]
+                assert tracker.held[name].body == (name.encode() * 4000)[: len(tracker.held[name].body)]
         for name, state in self.pending_notices.items():
-            assert name in unknown or tracker.pending_notices.get(name, (None,))[0] == state, (
-                f"{name}: its pending notice is lost")
+            assert (
+                name in unknown or tracker.pending_notices.get(name, (None,))[0] == state
+            ), f"{name}: its pending notice is lost"
         restored = [tracker.held[name].accepted_at for name in tracker.dispatcher.taken]
         assert restored == sorted(restored), "the messages were not restored in the order of acceptance"
         for name in self.closed - unknown:
-            assert name not in tracker.held and name not in tracker.pending_notices, \
-                f"{name} was closed and is open again"
+            assert (
+                name not in tracker.held and name not in tracker.pending_notices
+            ), f"{name} was closed and is open again"
 
 
 def random_script(seed, length):
@@ -155,8 +180,10 @@
     rng = random.Random(seed)
     names, operations = [], []
     for i in range(length):
-        what = rng.choices(("accept", "send", "end attempt", "complete", "close", "acknowledge", "compact"),
-                            (10, 6, 2, 6, 3, 3, 3))[0]
+        what = rng.choices(
+            ("accept", "send", "end attempt", "complete", "close", "acknowledge", "compact"),
+            (10, 6, 2, 6, 3, 3, 3),
+        )[0]
         if what == "accept" or not names:
             names.append(f"m{i}")
             what = "accept"
@@ -187,11 +214,16 @@
     remaining = disk.after()
     tracker = start_tracker(remaining)
     model.check(tracker)
-    model.open_messages = {name: [n for n, (_, _, ending) in enumerate(msg.attempts) if ending != "unsent"]
-                  for name, msg in tracker.held.items()}
+    model.open_messages = {
+        name: [n for n, (_, _, ending) in enumerate(msg.attempts) if ending != "unsent"]
+        for name, msg in tracker.held.items()
+    }
     model.pending_notices = {name: state for name, (state, _) in tracker.pending_notices.items()}
-    model.closed = {name for name in model.closed | model.interrupted if name not in tracker.held
-                  and name not in tracker.pending_notices}
+    model.closed = {
+        name
+        for name in model.closed | model.interrupted
+        if name not in tracker.held and name not in tracker.pending_notices
+    }
     model.interrupted, model.unwritten = set(), set()
     for operation in again:
         model.apply(tracker, *operation)
@@ -290,8 +322,9 @@
             failed.append(number)
             click.echo(f"seed {number}: {cause}")
     enumerated = sum(crash_at_every_call(number, 150) for number in range(seed, seed + max(1, runs // 100)))
-    click.echo(f"{runs} random scripts, {crashes} crashed, {enumerated} enumerated crashes, "
-               f"{len(failed)} failed")
+    click.echo(
+        f"{runs} random scripts, {crashes} crashed, {enumerated} enumerated crashes, " f"{len(failed)} failed"
+    )
     sys.exit(bool(failed))
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -18,14 +18,17 @@
     return relay
 
 
-@pytest.mark.parametrize("rate, relays, report, served, expected", [
-    (4.0, 1, None, 0, 3.2),         # listed
-    (4.0, 2, None, 0, 1.6),         # listed, this relay's part
-    (None, 2, 6.0, 0, 2.4),         # reported, this relay's part
-    (None, 2, None, 5, 4.0),        # learned from what was served, not divided
-    (4.0, 300, None, 0, 0.8),       # one send a second is the least
-    (4.0, 300, 4.0, 0, 0.08),       # but where a report tells of the limit
-])
+@pytest.mark.parametrize(
+    "rate, relays, report, served, expected",
+    [
+        (4.0, 1, None, 0, 3.2),  # listed
+        (4.0, 2, None, 0, 1.6),  # listed, this relay's part
+        (None, 2, 6.0, 0, 2.4),  # reported, this relay's part
+        (None, 2, None, 5, 4.0),  # learned from what was served, not divided
+        (4.0, 300, None, 0, 0.8),  # one send a second is the least
+        (4.0, 300, 4.0, 0, 0.08),  # but where a report tells of the limit
+    ],
+)
 def test_budget_after_first_refusal(rate, relays, report, served, expected):
     relay = DispatcherHarness(hosts=[("a", rate)], relays=relays)
     told = {"left": 0.5, "limit": report} if report else None
@@ -37,10 +40,19 @@
     assert relay.dispatcher.send_budget(relay.now, route) == pytest.approx(expected)
 
 
-@pytest.mark.parametrize("clean, delivered, refusals, expected", [
-    (0, 9, 1, 0.8), (1, 9, 1, 0.9), (5, 9, 1, 1.0), (5, 0, 1, 0.8), (5, 1, 1, 0.9),
-    (0, 9, 2, 0.8), (1, 9, 2, 0.9 * HEADROOM_CUT), (61, 9, 1, None),
-])
+@pytest.mark.parametrize(
+    "clean, delivered, refusals, expected",
+    [
+        (0, 9, 1, 0.8),
+        (1, 9, 1, 0.9),
+        (5, 9, 1, 1.0),
+        (5, 0, 1, 0.8),
+        (5, 1, 1, 0.9),
+        (0, 9, 2, 0.8),
+        (1, 9, 2, 0.9 * HEADROOM_CUT),
+        (61, 9, 1, None),
+    ],
+)
 def test_headroom_grows_when_clean_and_is_cut_when_refused(clean, delivered, refusals, expected):
     relay = refused_relay(hosts=[("a", 10.0)])
     route, d = relay.dispatcher.hosts["a"].route, relay.dispatcher
@@ -73,7 +85,7 @@
                 relay.report_outcome(act[1], "delivered", n=int(act[1] == "m1"))
     sent = [act[2] for act in relay.sends()[1:]]
     assert 1 < len(sent) <= most
-    assert [name for name in sent if name in names] == names[:len(sent) - 1]
+    assert [name for name in sent if name in names] == names[: len(sent) - 1]
 
 
 @pytest.mark.parametrize("waits", [1, 5])
@@ -104,19 +116,23 @@
     assert at and all(abs(ms - offset) <= 5 for ms in at)
 
 
-@pytest.mark.parametrize("lane, ending, later, again, answer", [
-    ("retriable", "timeout", 0, True, None),
-    ("retriable", "error", 0, True, None),
-    ("keyed", "timeout", 0, True, None),
-    ("keyed", "timeout", 5 * S, False, "fail"),     # its window is over
-    ("keyed", "unreachable", 5 * S, True, None),    # proved not to have run
-    ("once", "full", 0, True, None),
-    ("once", "unreachable", 0, True, None),
-    ("once", "timeout", 0, False, "fail"),
-    ("once", "reset", 0, False, "fail"),
-    ("once", "stale", 0, False, "fail"), ("once", "broken", 0, True, None),
-    ("unknown", "error", 0, False, "fail"),         # an unknown lane counts as non-retriable
-])
+@pytest.mark.parametrize(
+    "lane, ending, later, again, answer",
+    [
+        ("retriable", "timeout", 0, True, None),
+        ("retriable", "error", 0, True, None),
+        ("keyed", "timeout", 0, True, None),
+        ("keyed", "timeout", 5 * S, False, "fail"),  # its window is over
+        ("keyed", "unreachable", 5 * S, True, None),  # proved not to have run
+        ("once", "full", 0, True, None),
+        ("once", "unreachable", 0, True, None),
+        ("once", "timeout", 0, False, "fail"),
+        ("once", "reset", 0, False, "fail"),
+        ("once", "stale", 0, False, "fail"),
+        ("once", "broken", 0, True, None),
+        ("unknown", "error", 0, False, "fail"),  # an unknown lane counts as non-retriable
+    ],
+)
 def test_further_attempts_only_where_the_lane_allows(lane, ending, later, again, answer):
     relay = DispatcherHarness(hosts=[("a", 9.0), ("b", 9.0)])
     name, actions = relay.accept(lane)
@@ -126,13 +142,21 @@
     assert [act[0] for act in actions if act[0] in ("fail", "push back")] == ([answer] if answer else [])
 
 
-@pytest.mark.parametrize("lane, attempts, done", [
-    ("once", [], "send"), ("once", [(1, None)], "fail"), ("once", [(1, "full"), (1, "unreachable")], "send"),
-    ("once", [(1, "full"), (1, "reset")], "fail"), ("keyed", [(1, None)], "send"),
-    ("keyed", [(5, None)], "fail"), ("keyed", [(5, "unsent"), (1, None)], "send"),
-    ("zoned", [(1, None)], None), ("retriable", [(9, None)], "send"),
-    ("retriable", [(1, "error")] * 8, "push back"),
-])
+@pytest.mark.parametrize(
+    "lane, attempts, done",
+    [
+        ("once", [], "send"),
+        ("once", [(1, None)], "fail"),
+        ("once", [(1, "full"), (1, "unreachable")], "send"),
+        ("once", [(1, "full"), (1, "reset")], "fail"),
+        ("keyed", [(1, None)], "send"),
+        ("keyed", [(5, None)], "fail"),
+        ("keyed", [(5, "unsent"), (1, None)], "send"),
+        ("zoned", [(1, None)], None),
+        ("retriable", [(9, None)], "send"),
+        ("retriable", [(1, "error")] * 8, "push back"),
+    ],
+)
 def test_a_restored_message_continues_as_its_attempts_allow(lane, attempts, done):
     relay = DispatcherHarness()
     attempts = [("long gone", relay.now - ago * S, ending) for ago, ending in attempts]
@@ -170,10 +194,15 @@
     assert [act[:2] for act in actions] == [("push back", late)]
 
 
-@pytest.mark.parametrize("what, told, may", [
-    (None, (), True), ("update_endpoints", ("changes", [("a", "draining", "z", 4.0, "plain", "d")]), False),
-    ("attempt_ended", ("m2", 0, "a", "full", 0, S, None, False), False), ("withdraw", ("m1",), False),
-])
+@pytest.mark.parametrize(
+    "what, told, may",
+    [
+        (None, (), True),
+        ("update_endpoints", ("changes", [("a", "draining", "z", 4.0, "plain", "d")]), False),
+        ("attempt_ended", ("m2", 0, "a", "full", 0, S, None, False), False),
+        ("withdraw", ("m1",), False),
+    ],
+)
 def test_a_call_whose_connection_came_up_late_leaves_only_if_it_still_may(what, told, may):
     relay = DispatcherHarness()
     relay.accept()
@@ -184,11 +213,18 @@
 
 
 # Guards against a keyed request being sent again outside its window because its connection came up late.
-@pytest.mark.parametrize("lane, before, late, held", [
-    ("keyed", "reset", 3 * S, None), ("keyed", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
-    ("keyed", "reset", 3850 * MS, HoldCause.WINDOW_CLOSED),    # it may be held up for 150 ms
-    ("keyed", "broken", 4 * S, None), ("zoned", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
-    ("retriable", "reset", 4 * S, None), ("once", "broken", 4 * S, None)])
+@pytest.mark.parametrize(
+    "lane, before, late, held",
+    [
+        ("keyed", "reset", 3 * S, None),
+        ("keyed", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
+        ("keyed", "reset", 3850 * MS, HoldCause.WINDOW_CLOSED),  # it may be held up for 150 ms
+        ("keyed", "broken", 4 * S, None),
+        ("zoned", "reset", 4 * S, HoldCause.WINDOW_CLOSED),
+        ("retriable", "reset", 4 * S, None),
+        ("once", "broken", 4 * S, None),
+    ],
+)
 def test_a_repeat_whose_connection_comes_up_behind_its_window_does_not_leave(lane, before, late, held):
     relay = DispatcherHarness()
     name, _ = relay.accept(lane, key="k")
@@ -275,14 +311,14 @@
     relay.run(500 * MS)
     trials = relay.sends()[sent:]
     assert len(trials) == 1
-    host.outage_length = 5 * S        # as after an outage of some length
+    host.outage_length = 5 * S  # as after an outage of some length
     n = sum(act[2] == trials[0][2] for act in relay.sends()) - 1
     actions, sent = relay.report_outcome(trials[0][2], "delivered", n=n), len(relay.sends()) - 1
     for _ in range(60):
         for act in actions_named(actions, "send"):
             relay.report_outcome(act[1], "delivered", n=sum(a[2] == act[1] for a in relay.sends()) - 1)
         actions = relay.run(50 * MS)
-    assert 1 <= len(relay.sends()) - sent <= 4 * 3 * 2 * 0.5    # the rule's multiple of a cold share, no more
+    assert 1 <= len(relay.sends()) - sent <= 4 * 3 * 2 * 0.5  # the rule's multiple of a cold share, no more
 
 
 @pytest.mark.parametrize("relays, rate, most", [(3, 4.0, 14), (60, 25.0, 7), (300, 4.0, 3), (300, 110.0, 7)])
@@ -311,9 +347,15 @@
     )
 
 
-@pytest.mark.parametrize("delivered, reported, step, aside", [
-    (False, None, 1100, True), (True, None, 1100, False), (False, 0.0, 200, True), (True, 0.0, 200, False),
-])
+@pytest.mark.parametrize(
+    "delivered, reported, step, aside",
+    [
+        (False, None, 1100, True),
+        (True, None, 1100, False),
+        (False, 0.0, 200, True),
+        (True, 0.0, 200, False),
+    ],
+)
 def test_only_a_host_that_refuses_everything_is_ejected(delivered, reported, step, aside):
     relay = DispatcherHarness()
     d, host = relay.dispatcher, relay.dispatcher.hosts["a"]
@@ -373,7 +415,7 @@
     relay.apply("final_statuses_accepted", ["another"])
     assert not is_sent(relay, second)
     relay.apply("final_statuses_accepted", [first])
-    relay.run(S)        # the rest of the key behind an attempt that may have run
+    relay.run(S)  # the rest of the key behind an attempt that may have run
     assert is_sent(relay, second)
 
 
@@ -457,7 +499,7 @@
         relay.report_outcome(name, "delivered", took=took)
     _, actions = relay.accept()
     assert 1500 * MS <= actions_named(actions, "send")[0][3] - relay.now <= 3 * S
-    relay.dispatcher.lost_share["plain"] = 0.2     # where calls get lost it is halved
+    relay.dispatcher.lost_share["plain"] = 0.2  # where calls get lost it is halved
     assert 750 * MS <= actions_named(relay.accept()[1], "send")[0][3] - relay.now <= 1500 * MS
 
 
@@ -504,7 +546,7 @@
         for _, _, name, *_ in fresh:
             relay.report_outcome(name, "unsent" if name in dead else "delivered", over=True, took=5 * MS)
     alive = [act[0] for act in relay.sends() if act[2] in names and act[2] not in dead]
-    assert len(alive) == 5 and alive[-1] - alive[0] > 900 * MS      # the living keep the pace of the limit
+    assert len(alive) == 5 and alive[-1] - alive[0] > 900 * MS  # the living keep the pace of the limit
 
 
 def held(thing, seen=None):
@@ -515,7 +557,8 @@
         return 0
     seen[id(thing)] = thing
     parts = [getattr(thing, slot, None) for slot in getattr(thing, "__slots__", ())] or (
-        [*thing, *thing.values()] if isinstance(thing, dict) else thing)
+        [*thing, *thing.values()] if isinstance(thing, dict) else thing
+    )
     return 1 + sum(held(part, seen) for part in parts)
 
 
@@ -555,8 +598,9 @@
     assert list(relay.dispatcher.key_queues["k"].queue) == [relay.dispatcher.open_messages[name]]
 
 
-@pytest.mark.parametrize("ending, wait, calls", [("full", 0, (1, 5)), ("full", 2 * S, (0, 0)),
-                                                 ("unreachable", 0, (0, 1))])
+@pytest.mark.parametrize(
+    "ending, wait, calls", [("full", 0, (1, 5)), ("full", 2 * S, (0, 0)), ("unreachable", 0, (0, 1))]
+)
 def test_a_restarted_relay_sends_no_burst_to_a_known_host(ending, wait, calls):
     """A restarted relay holds a backlog; without the budget, the wait, the outage it would all go at once."""
     last = DispatcherHarness(hosts=[("a", None)])
@@ -565,8 +609,11 @@
     told = json.loads(json.dumps(last.dispatcher.learned_state(last.now)))
     fresh = DispatcherHarness(hosts=[("a", None), ("b", None)], slots=40)
     fresh.now = last.now + S // 2
-    fresh.apply("update_endpoints", "saved", [("a", "ready", "z", None, "plain", "d"),
-                                   ("b", "gone", "z", None, "plain", "d")])
+    fresh.apply(
+        "update_endpoints",
+        "saved",
+        [("a", "ready", "z", None, "plain", "d"), ("b", "gone", "z", None, "plain", "d")],
+    )
     fresh.apply("restore_learned_state", told, fresh.now)
     for _ in range(20):
         fresh.accept()
@@ -576,8 +623,10 @@
     assert not DispatcherHarness().dispatcher.learned_state(last.now)
 
 
-@pytest.mark.parametrize("ending, many, aside", [
-    ("stale", 20, False), ("broken", 4, False), ("broken", 5, True), ("unreachable", 1, True)])
+@pytest.mark.parametrize(
+    "ending, many, aside",
+    [("stale", 20, False), ("broken", 4, False), ("broken", 5, True), ("unreachable", 1, True)],
+)
 def test_a_connection_that_broke_is_weaker_evidence_than_one_that_never_came_up(ending, many, aside):
     relay = DispatcherHarness(slots=100, room=100)
     names = [relay.accept()[0] for _ in range(many)]
@@ -600,6 +649,7 @@
             told = "stale" if idle and idle > lasts else "reset" if i % 13 == 0 else "delivered"
             relay.apply("attempt_ended", name, 0, "a", told, 50 * MS, 0, None, True, idle)
         return relay.dispatcher.max_idle_time(relay.now)
+
     assert calls(400, S) > 10 * S and None not in tried
     calls(1000, 100 * MS)
     assert 40 > sum(idle is not None and idle > 100 * MS for idle in tried)
@@ -623,7 +673,7 @@
     relay.report_outcome(relay.accept()[0], "unreachable")
     host = relay.dispatcher.hosts["a"]
     assert host.probing
-    probe, = actions_named(relay.run(12 * S), "send")
+    (probe,) = actions_named(relay.run(12 * S), "send")
     relay.report_outcome(probe[1], "delivered", n=1)
     assert not host.probing
 
@@ -678,7 +728,7 @@
             n = max(n for name, n in relay.dispatcher.attempts if name == act[1])
             relay.report_outcome(act[1], "delivered", n)
             sent, returned = sent + returned, True
-    assert 5 <= sent <= 8 * 4 * 2       # never more than the rule's multiple of what it took
+    assert 5 <= sent <= 8 * 4 * 2  # never more than the rule's multiple of what it took
 
 
 def test_a_silence_is_counted_from_when_the_first_lost_call_left():
@@ -689,34 +739,55 @@
     begun = relay.now
     for _ in range(6):
         relay.accept()
-    while relay.now < begun + 7 * S:        # silent for 4 s, each call's time-out 1.5 s after it left
+    while relay.now < begun + 7 * S:  # silent for 4 s, each call's time-out 1.5 s after it left
         relay.run(20 * MS)
         for (name, n), attempt in list(relay.dispatcher.attempts.items()):
             if relay.now >= attempt.started_at + 1500 * MS and attempt.started_at < begun + 4 * S:
                 relay.report_outcome(name, "timeout", n)
             elif attempt.started_at >= begun + 4 * S:
                 relay.report_outcome(name, "delivered", n)
-    host, = relay.dispatcher.hosts.values()
+    (host,) = relay.dispatcher.hosts.values()
     assert not host.probing and host.outage_length > 3 * S and host.slow_start_since is not None
 
 
-@pytest.mark.parametrize("age, headroom, bound, aside", [
-    (0, 0.5, True, True), (6 * S, 0.55, True, True), (30 * S, 0.75, True, True), (60 * S, 1.0, False, False),
-    (86_400 * S, 1.0, False, False)])
+@pytest.mark.parametrize(
+    "age, headroom, bound, aside",
+    [
+        (0, 0.5, True, True),
+        (6 * S, 0.55, True, True),
+        (30 * S, 0.75, True, True),
+        (60 * S, 1.0, False, False),
+        (86_400 * S, 1.0, False, False),
+    ],
+)
 def test_what_was_learned_ages_but_a_wait_holds_to_its_end(age, headroom, bound, aside):
     relay = DispatcherHarness()
     route, wait = relay.dispatcher.hosts["a"].route, relay.now + 2 * S
-    told = [["a", [0.0, None, 5 * S, relay.now, relay.now + S, True, relay.now],
-             [0.5, 3.0, None, relay.now, relay.now, relay.now, False, wait, 2.0]]]
+    told = [
+        [
+            "a",
+            [0.0, None, 5 * S, relay.now, relay.now + S, True, relay.now],
+            [0.5, 3.0, None, relay.now, relay.now, relay.now, False, wait, 2.0],
+        ]
+    ]
     relay.apply("restore_learned_state", told, relay.now - age)
     assert route.headroom == pytest.approx(headroom) and route.wait_until == wait
     assert (route.refused_at is not None, relay.dispatcher.hosts["a"].probing) == (bound, aside)
 
 
 # Guards against a message taken on with so little time left that its final answer can't come in time.
-@pytest.mark.parametrize("left, lane_time, reserve", [
-    (16 * S, 16 * S, 500 * MS), (1600 * MS, 16 * S, 400 * MS), (800 * MS, 16 * S, 350 * MS),
-    (200 * MS, 16 * S, 350 * MS), (200 * MS, 800 * MS, 100 * MS), (800 * MS, 800 * MS, 200 * MS),
-    (200 * MS, None, 350 * MS), (-5 * MS, 16 * S, 350 * MS)])
+@pytest.mark.parametrize(
+    "left, lane_time, reserve",
+    [
+        (16 * S, 16 * S, 500 * MS),
+        (1600 * MS, 16 * S, 400 * MS),
+        (800 * MS, 16 * S, 350 * MS),
+        (200 * MS, 16 * S, 350 * MS),
+        (200 * MS, 800 * MS, 100 * MS),
+        (800 * MS, 800 * MS, 200 * MS),
+        (200 * MS, None, 350 * MS),
+        (-5 * MS, 16 * S, 350 * MS),
+    ],
+)
 def test_the_reserve_for_a_final_answer_goes_by_the_time_that_a_message_has(left, lane_time, reserve):
     assert final_answer_due(7 * S, 7 * S + left, lane_time) == 7 * S + left - reserve
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,5 @@
 """The segmented journal: crashes, full disks, damage, earlier versions; learned state; the journal tools."""
+
 import contextlib
 import errno
 import fcntl
@@ -29,8 +30,9 @@
 
 def scanned(data):
     """(kind, message name) of each record; (None, (size, torn)) of each unreadable range."""
-    return [(one.kind, one.told[0] if one.kind else (one.end - one.at, one.torn))
-            for one in frames.scan(data)]
+    return [
+        (one.kind, one.told[0] if one.kind else (one.end - one.at, one.torn)) for one in frames.scan(data)
+    ]
 
 
 # Record format.
@@ -66,7 +68,7 @@
     assert [one.told[0] for one in frames.skim(whole, OVER) if one] == ["e0", "e1", "e2"]
     heads = {one.at + i for one in frames.scan(SEGMENT) for i in range(4)}
     if cut or at in heads:
-        broken = whole[:at] if cut else whole[:at] + b"\xff" + whole[at + 1:]
+        broken = whole[:at] if cut else whole[:at] + b"\xff" + whole[at + 1 :]
         edge = cut and at in {one.at for one in frames.scan(SEGMENT)}
         with contextlib.nullcontext() if edge else pytest.raises(ValueError):
             list(frames.skim(broken, OVER))
@@ -77,9 +79,15 @@
     assert not any(kind for kind, _ in scanned(frames.header(1, "n0", SALT) + noise))
 
 
-@pytest.mark.parametrize("change, number", [
-    (lambda head: head, 1), (lambda head: head[:20], None), (lambda head: b"x" + head[1:], None),
-    (lambda head: head[:12] + b"\7" + head[13:], None)])
+@pytest.mark.parametrize(
+    "change, number",
+    [
+        (lambda head: head, 1),
+        (lambda head: head[:20], None),
+        (lambda head: b"x" + head[1:], None),
+        (lambda head: head[:12] + b"\7" + head[13:], None),
+    ],
+)
 def test_header_validation(change, number):
     assert frames.header_of(change(frames.header(1, "n0", SALT))) == number
 
@@ -87,23 +95,29 @@
 # Compaction policy.
 
 
-@pytest.mark.parametrize("sizes, most, hurry, number", [
-    ([(90, 0), (90, 90)], 100 * KB, False, None),        # little is used: no compaction
-    ([(3 * KB, 0), (3 * KB, 3 * KB)], 10 * KB, False, 0),
-    ([(3 * KB, 3 * KB), (3 * KB, 0)], 10 * KB, False, None),
-    ([(3 * KB, 2 * KB), (3 * KB, 1 * KB), (2 * KB, 0)], 12 * KB, False, 1),
-    ([(30 * KB, 20 * KB), (30 * KB, 15 * KB), (9 * KB, 0)], 100 * KB, False, 1),
-    ([(30 * KB, 29 * KB), (9 * KB, 0)], 100 * KB, False, None),     # enough space, and little to be freed
-    ([(30 * KB, 29 * KB), (9 * KB, 0)], 100 * KB, True, 0),
-    ([(90 * KB, 80 * KB), (9 * KB, 0)], 100 * KB, True, None),      # no room for the copy
-])
+@pytest.mark.parametrize(
+    "sizes, most, hurry, number",
+    [
+        ([(90, 0), (90, 90)], 100 * KB, False, None),  # little is used: no compaction
+        ([(3 * KB, 0), (3 * KB, 3 * KB)], 10 * KB, False, 0),
+        ([(3 * KB, 3 * KB), (3 * KB, 0)], 10 * KB, False, None),
+        ([(3 * KB, 2 * KB), (3 * KB, 1 * KB), (2 * KB, 0)], 12 * KB, False, 1),
+        ([(30 * KB, 20 * KB), (30 * KB, 15 * KB), (9 * KB, 0)], 100 * KB, False, 1),
+        ([(30 * KB, 29 * KB), (9 * KB, 0)], 100 * KB, False, None),  # enough space, and little to be freed
+        ([(30 * KB, 29 * KB), (9 * KB, 0)], 100 * KB, True, 0),
+        ([(90 * KB, 80 * KB), (9 * KB, 0)], 100 * KB, True, None),  # no room for the copy
+    ],
+)
 def test_choice_of_the_next_segment_to_compact(sizes, most, hurry, number):
     segments = [Segment(i, size, live) for i, (size, live) in enumerate(sizes)]
     assert victim(segments, most, hurry) == number
 
 
-@given(st.lists(st.tuples(st.integers(40, 90 * KB), st.floats(0, 1)), min_size=1, max_size=30),
-       st.integers(100 * KB, 3000 * KB), st.booleans())
+@given(
+    st.lists(st.tuples(st.integers(40, 90 * KB), st.floats(0, 1)), min_size=1, max_size=30),
+    st.integers(100 * KB, 3000 * KB),
+    st.booleans(),
+)
 def test_the_chosen_segment_is_closed_its_copy_fits_and_space_is_freed(sizes, most, hurry):
     segments = [Segment(i, size, int(size * share)) for i, (size, share) in enumerate(sizes)]
     number = victim(segments, most, hurry)
@@ -124,12 +138,15 @@
         torture.crash_at_random_call(seed, 250)
 
 
-@pytest.mark.parametrize("name, faulty", [
-    # closing records do not outlast the message's older segments
-    ("existing_segments", lambda self, entry: []),
-    ("copy_records", lambda self, parts: None),     # compaction does not copy live records
-    ("undo_write", lambda self, size: None),        # incomplete writes stay in the file
-])
+@pytest.mark.parametrize(
+    "name, faulty",
+    [
+        # closing records do not outlast the message's older segments
+        ("existing_segments", lambda self, entry: []),
+        ("copy_records", lambda self, parts: None),  # compaction does not copy live records
+        ("undo_write", lambda self, size: None),  # incomplete writes stay in the file
+    ],
+)
 def test_the_crash_tests_detect_a_faulty_journal(monkeypatch, name, faulty):
     monkeypatch.setattr(Journal, name, faulty)
     with pytest.raises((AssertionError, KeyError)):
@@ -149,7 +166,7 @@
         try:
             for operation in operations:
                 model.apply(tracker, *operation)
-                tracker.journal.sync()         # as in sync mode "each"
+                tracker.journal.sync()  # as in sync mode "each"
         except Crash:
             pass
         model.check(torture.start_tracker(disk.after(power_cut=True)))
@@ -177,7 +194,7 @@
 def test_live_messages_fill_three_quarters_and_all_can_still_be_closed(most, size):
     journal, names = filled(most, size)
     assert journal.live >= 0.75 * most - size and journal.disk.used() <= most
-    for name in names:      # each closing record is written although no new message fits
+    for name in names:  # each closing record is written although no new message fits
         journal.write(journal.over(name, "delivered"))
         journal.live -= size
         journal.step()
@@ -213,7 +230,7 @@
     disk, model = FaultyDisk(), torture.Model()
     tracker = torture.start_tracker(disk)
     model.apply(tracker, "accept", "m", 200)
-    disk.fails = {disk.calls + n: code for n in (1, 2)}     # the write, and the truncation that undoes it
+    disk.fails = {disk.calls + n: code for n in (1, 2)}  # the write, and the truncation that undoes it
     model.apply(tracker, "send", "m", 200)
     disk.fails = {}
     model.apply(tracker, "send", "m", 200)
@@ -227,7 +244,7 @@
 # record of the first is in damaged bytes.
 def test_an_attempt_whose_record_may_be_damaged_may_have_run_at_an_unknown_time():
     replay = Replay()
-    replay.feed(TAKEN, ["m", "7", "a", 10 ** 10, "k", "", "", False, 5], b"")
+    replay.feed(TAKEN, ["m", "7", "a", 10**10, "k", "", "", False, 5], b"")
     replay.damage()
     replay.feed(CALL, ["m", 1, "h", 100, None], b"")
     assert replay.finish().held["m"].legs == [["", 0, None], ["h", 100, None], ["", 0, None]]
@@ -249,7 +266,7 @@
     (tmp_path / "notes.txt").write_text("foreign")
     again = torture.start_tracker(Disk(tmp_path))
     assert list(again.held) == ["a", "c"] and again.dispatcher.taken["a"] == [("", 0, None)]
-    assert again.dispatcher.taken["c"] == []        # accepted after the damaged range
+    assert again.dispatcher.taken["c"] == []  # accepted after the damaged range
     assert [event for event, _ in again.events] == ["journal damaged"] * 2
     assert (tmp_path / "bad-seg-0000000000").exists()
     assert [(loss.segment, loss.size > 20) for loss in again.journal.losses] == [(0, False), (1, True)]
@@ -280,8 +297,16 @@
     disk = FaultyDisk()
     tracker = torture.start_tracker(disk)
     forged = b"".join(record(OVER, ["b", "over"]).sealed(salt) for salt in (0, 1, SALT))
-    message = {"name": "a", "dst": "7", "lane": "a", "time_left": 10 ** 10, "mark": "", "customer": "",
-            "key": "", "again": False}
+    message = {
+        "name": "a",
+        "dst": "7",
+        "lane": "a",
+        "time_left": 10**10,
+        "mark": "",
+        "customer": "",
+        "key": "",
+        "again": False,
+    }
     assert tracker.accept(message | {"name": "b", "body": b"x"}, False)[0] == 202
     assert tracker.accept(message | {"body": forged}, False)[0] == 202
     data = disk.files["seg-0000000001"]
@@ -297,16 +322,18 @@
     journal.write(RECORDS[0])
     journal.begin()
     journal.write(RECORDS[1])
-    journal.begin()             # an empty segment
+    journal.begin()  # an empty segment
     handles, closed = journal.handles_to_sync()
     assert len(handles) == 3 and len(closed) == 2 and not disk.synced
     disk.fails = {disk.calls + 1: errno.EIO}
     with pytest.raises(OSError):
         journal.sync()
-    assert journal.unsynced_handles == closed     # kept for the next attempt
+    assert journal.unsynced_handles == closed  # kept for the next attempt
     journal.sync()
-    assert not journal.unsynced_handles and {
-        name: bytes(data) for name, data in disk.files.items()} == disk.synced
+    assert (
+        not journal.unsynced_handles
+        and {name: bytes(data) for name, data in disk.files.items()} == disk.synced
+    )
 
 
 def test_a_file_of_a_newer_version_is_refused_and_left_unchanged(tmp_path):
@@ -319,9 +346,15 @@
     assert (tmp_path / "seg-0000000001").read_bytes() == bytes(head)
 
 
-LEGACY_LOG = b"".join((old.record(TAKEN, ["a", "7", "x", 9, "", None, "", False], b"\nbody"),
-                old.record(TAKEN, ["b", "7", "x", 9, "", None, "", False], b"other"),
-                old.record(OVER, ["b", "delivered"]), old.record(OWED, ["c", "failed", 0]), b"\x07torn"))
+LEGACY_LOG = b"".join(
+    (
+        old.record(TAKEN, ["a", "7", "x", 9, "", None, "", False], b"\nbody"),
+        old.record(TAKEN, ["b", "7", "x", 9, "", None, "", False], b"other"),
+        old.record(OVER, ["b", "delivered"]),
+        old.record(OWED, ["c", "failed", 0]),
+        b"\x07torn",
+    )
+)
 
 
 def test_conversion_of_a_legacy_log_survives_a_crash_at_any_disk_call():
@@ -329,6 +362,7 @@
         disk = FaultyDisk()
         disk.files = {"log": bytearray(LEGACY_LOG), "log.new": bytearray(b"half")}
         return disk
+
     uncut = fresh()
     torture.start_tracker(uncut)
     for at in range(1, uncut.calls + 2):
@@ -340,9 +374,12 @@
             except Crash:
                 pass
             tracker = torture.start_tracker(disk.after())
-            assert list(tracker.held) == ["a"] and tracker.held["a"].body == b"\nbody"\
-                and tracker.pending_notices == {"c": ("failed", 0)}\
+            assert (
+                list(tracker.held) == ["a"]
+                and tracker.held["a"].body == b"\nbody"
+                and tracker.pending_notices == {"c": ("failed", 0)}
                 and tracker.recent_ends["b"] == "delivered"
+            )
             assert not {"log", "log.new"} & set(tracker.journal.disk.files)
 
 
@@ -370,12 +407,18 @@
     assert torture.kill_writers(30, tmp_path) > 30
 
 
-@pytest.mark.parametrize("change, valid", [
-    (lambda data: data, True), (lambda data: data[:-1], False), (lambda data: b"", False),
-    (lambda data: data.replace(b'"version":2', b'"version":1'), True),
-    (lambda data: data.replace(b'"version":2', b'"version":3'), False),
-    (lambda data: data.replace(b"7]", b"8]"), False), (lambda data: b"{}\n[]", False),
-])
+@pytest.mark.parametrize(
+    "change, valid",
+    [
+        (lambda data: data, True),
+        (lambda data: data[:-1], False),
+        (lambda data: b"", False),
+        (lambda data: data.replace(b'"version":2', b'"version":1'), True),
+        (lambda data: data.replace(b'"version":2', b'"version":3'), False),
+        (lambda data: data.replace(b"7]", b"8]"), False),
+        (lambda data: b"{}\n[]", False),
+    ],
+)
 def test_a_learned_state_file_is_loaded_or_renamed(tmp_path, change, valid):
     events = []
     learned = Learned(tmp_path, lambda event, **fields: events.append(event))
@@ -403,13 +446,14 @@
         syncs.append(len(disk.synced.get("seg-0000000001", b"")))
 
     async def run():
-        syncer = Syncer(journal, "each", 10 ** 6, print)
+        syncer = Syncer(journal, "each", 10**6, print)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(syncer.serve)
             async with trio.open_nursery() as messages:
                 for one in RECORDS:
                     messages.start_soon(message, syncer, one)
             nursery.cancel_scope.cancel()
+
     list(journal.read())
     trio.run(run)
     assert syncs == [len(disk.files["seg-0000000001"])] * 10 and disk.calls < 15
@@ -421,7 +465,7 @@
     list(journal.read())
 
     async def run():
-        syncer = Syncer(journal, "each", 10 ** 6, lambda event, **fields: events.append(event))
+        syncer = Syncer(journal, "each", 10**6, lambda event, **fields: events.append(event))
         journal.write(RECORDS[0])
         disk.fails = {disk.calls + 1: errno.EIO, disk.calls + 2: errno.EIO}
         async with trio.open_nursery() as nursery:
@@ -429,6 +473,7 @@
             with trio.fail_after(2):
                 await syncer.wait_synced()
             nursery.cancel_scope.cancel()
+
     trio.run(run)
     assert events == ["journal cannot be synced"]
 
@@ -450,8 +495,11 @@
 def test_tools_report_the_state_of_a_folder_and_salvage_a_damaged_one(folder, tmp_path):
     path, tracker = folder
     state = tools.folder_state(path)
-    assert set(state["held"]) == set(tracker.held) and set(state["owed"]) == set(tracker.pending_notices) \
+    assert (
+        set(state["held"]) == set(tracker.held)
+        and set(state["owed"]) == set(tracker.pending_notices)
         and not state["bad"]
+    )
     assert tools.verify(path) == [] and tools.stat(path)["held"] == len(tracker.held)
     assert all(orjson.loads(line)["kind"] for line in tools.dump_lines(path))
     before, after = tools.compact(path, 60_000)
@@ -476,7 +524,7 @@
     with pytest.raises(Held):
         tools.compact(path, 60_000)
     os.close(handle)
-    fcntl.flock(os.open(path, os.O_RDONLY), fcntl.LOCK_SH)      # a shared lock blocks it as well
+    fcntl.flock(os.open(path, os.O_RDONLY), fcntl.LOCK_SH)  # a shared lock blocks it as well
     with pytest.raises(Held):
         lock(path)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,5 @@
 """The relay as a process, started with the command of the deploy file and used over sockets."""
+
 import contextlib
 import http.client
 import itertools
@@ -25,18 +26,25 @@
     body = bytes(range(256)) * 200
     assert town.submit("a", "order", body) == 202
     assert wait_until(lambda: town.calls)
-    call, = town.calls
+    (call,) = town.calls
     assert (call["id"], call["key"], call["body"]) == ("a", "k-a", body)
-    assert town.submit("a", "order", body) in (200, 202)       # resubmitted as if the answer was lost
+    assert town.submit("a", "order", body) in (200, 202)  # resubmitted as if the answer was lost
     time.sleep(0.2)
     assert len(town.calls) == 1 and not town.notices
 
 
-@pytest.mark.parametrize("lane, plan, retried", [
-    ("notice", (500, {}), True), ("order", "drop", True), ("once", (503, {}), True),
-    ("once", (429, {}), True), ("once", (500, {}), False), ("once", "drop", False),
-    ("once", (503, {"Slots-Taken": "1"}), True),
-])
+@pytest.mark.parametrize(
+    "lane, plan, retried",
+    [
+        ("notice", (500, {}), True),
+        ("order", "drop", True),
+        ("once", (503, {}), True),
+        ("once", (429, {}), True),
+        ("once", (500, {}), False),
+        ("once", "drop", False),
+        ("once", (503, {"Slots-Taken": "1"}), True),
+    ],
+)
 def test_the_outcome_of_an_attempt_decides_whether_it_is_retried(town, lane, plan, retried):
     town.plan = lambda call: plan if call["n"] == 0 else (200, {})
     town.start()
@@ -62,7 +70,7 @@
     assert (repeat["id"], repeat["attempt"], repeat["ending"]) == ("a", 1, "delivered")
     assert repeat["first_ms"] < 0 <= repeat["connected_ms"] <= repeat["sent_ms"] <= repeat["ended_ms"]
     assert repeat["window_ms"] == 5000 and last["id"] == "b"
-    closed, = (event for event in logged if event["event"] == "message closed")
+    (closed,) = (event for event in logged if event["event"] == "message closed")
     assert (closed["id"], closed["state"], closed["cause"]) == ("b", "failed", "may have run")
     figures = [event for event in logged if event["event"] == "figures"][-1]
     assert figures["attempts.delivered"] == figures["messages.delivered"] == 1
@@ -79,10 +87,16 @@
     assert all(call["at"] - town.calls[0]["at"] >= 0.9 for call in town.calls[1:])
 
 
-@pytest.mark.parametrize("lane, unanswered, result", [
-    ("notice", False, "sent"), ("notice", True, "sent"), ("order", True, "sent"), ("once", False, "sent"),
-    ("once", True, "failed"),       # its call was in flight and may have run
-])
+@pytest.mark.parametrize(
+    "lane, unanswered, result",
+    [
+        ("notice", False, "sent"),
+        ("notice", True, "sent"),
+        ("order", True, "sent"),
+        ("once", False, "sent"),
+        ("once", True, "failed"),  # its call was in flight and may have run
+    ],
+)
 def test_messages_of_a_killed_relay_get_their_final_answer_after_the_restart(town, lane, unanswered, result):
     town.plan = lambda call: "hang" if unanswered else (429, {"Wait-Ms": "5000"})
     town.start()
@@ -98,15 +112,15 @@
     else:
         assert wait_until(lambda: town.notices == [{"id": "a", "state": "failed"}])
         assert len(town.calls) == before
-    time.sleep(0.3)     # time to record the delivery
+    time.sleep(0.3)  # time to record the delivery
     town.end()
     count = len(town.calls) + len(town.notices)
     town.start()
     time.sleep(0.3)
-    assert len(town.calls) + len(town.notices) == count       # a further restart reopens nothing
+    assert len(town.calls) + len(town.notices) == count  # a further restart reopens nothing
 
 
-@pytest.mark.parametrize("tail", [b"\x99", b"\x40\0\0\0\1\2\3\4T[\"z\"", b"\0" * 4096])
+@pytest.mark.parametrize("tail", [b"\x99", b'\x40\0\0\0\1\2\3\4T["z"', b"\0" * 4096])
 def test_a_relay_recovers_from_a_torn_last_record(town, tail):
     town.plan = lambda call: (429, {"Wait-Ms": "500"})
     town.start()
@@ -151,9 +165,9 @@
         answers.append(town.submit(f"n{len(answers)}"))
         time.sleep(0.1)
     client.sendall(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
-    assert b"200" in client.recv(1000)    # clients are served while calls are sent
+    assert b"200" in client.recv(1000)  # clients are served while calls are sent
     client.settimeout(0.9)
-    assert client.recv(1000) == b""       # then closed, so that the client uses another relay
+    assert client.recv(1000) == b""  # then closed, so that the client uses another relay
     while time.time() - begun < 3.0:
         answers.append(town.submit(f"n{len(answers)}"))
         time.sleep(0.1)
@@ -163,7 +177,12 @@
     returned = {notice["id"] for notice in town.notices if notice["state"] == "returned"}
     assert all(town.calls_for(name) or name in returned for name in accepted)
     assert [event.get("phase") for event in town.events() if event["event"] == "phase"] == [
-        "recovering", "serving", "leaving", "closing", "ended"]
+        "recovering",
+        "serving",
+        "leaving",
+        "closing",
+        "ended",
+    ]
     town.relay, calls = None, len(town.calls_for("b"))
     town.plan = lambda call: (200, {})
     town.start()
@@ -184,26 +203,46 @@
 HEAD = b"POST /notice HTTP/1.1\r\nHost: r\r\nX-Request-Id: z\r\nX-Deadline: 900m\r\nEnvelope: dest=7\r\n"
 
 
-@pytest.mark.parametrize("data, answer", [
-    (b"nonsense\r\n\r\n", b" 400 "), (b"GET /nowhere HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
-    (b"GET /notice HTTP/1.1\r\nHost: r\r\n\r\n", b" 405 "),
-    (b"GET http://[ HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
-    (HEAD.replace(b"dest=7", b"dest=x") + b"Content-Length: 0\r\n\r\n", b" 400 "),
-    (HEAD.replace(b"900m", b"soon") + b"Content-Length: 0\r\n\r\n", b" 400 "),
-    (HEAD.replace(b"900m", b"9" * 40 + b"m") + b"Content-Length: 0\r\n\r\n", b" 400 "),
-    (HEAD + b"Content-Length: 65537\r\n\r\n", b" 413 "), (HEAD + b"Content-Length: -4\r\n\r\n", b" 400 "),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + (b"fff0\r\n" + b"x" * 0xfff0 + b"\r\n") * 2, b" 413 "),
-    (HEAD + b"X-Long: " + b"y" * 20000 + b"\r\n\r\n", b" 431 "),
-    (HEAD + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", b" 202 "),
-    (HEAD + b"Connection: close\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", b" 202 "),
-    ([HEAD + b"Connection: close\r\nContent-Length: 4\r\n\r\n", b"o", b"kok"], b" 202 "),
-    (READY * 2 + READY.replace(b"Host", b"Connection: close\r\nHost"), b" 200 "),
-    ([HEAD + b"Content-Length: 9\r\n\r\n", 0.9, b"a", 0.9, b"b"], b" 408 "), (HEAD, b" 408 "),
-    (b"\0" * 20000, b" 400 "),
-    *((HEAD + b"".join(lengths) + b"\r\n0\r\n\r\n" + HEAD.replace(b": z", b": hidden")
-       + b"Content-Length: 0\r\n\r\n", b" 400 ")
-      for lengths in itertools.permutations([b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"])),
-], ids=range(20))
+@pytest.mark.parametrize(
+    "data, answer",
+    [
+        (b"nonsense\r\n\r\n", b" 400 "),
+        (b"GET /nowhere HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
+        (b"GET /notice HTTP/1.1\r\nHost: r\r\n\r\n", b" 405 "),
+        (b"GET http://[ HTTP/1.1\r\nHost: r\r\n\r\n", b" 404 "),
+        (HEAD.replace(b"dest=7", b"dest=x") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+        (HEAD.replace(b"900m", b"soon") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+        (HEAD.replace(b"900m", b"9" * 40 + b"m") + b"Content-Length: 0\r\n\r\n", b" 400 "),
+        (HEAD + b"Content-Length: 65537\r\n\r\n", b" 413 "),
+        (HEAD + b"Content-Length: -4\r\n\r\n", b" 400 "),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + (b"fff0\r\n" + b"x" * 0xFFF0 + b"\r\n") * 2,
+            b" 413 ",
+        ),
+        (HEAD + b"X-Long: " + b"y" * 20000 + b"\r\n\r\n", b" 431 "),
+        (HEAD + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", b" 202 "),
+        (HEAD + b"Connection: close\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", b" 202 "),
+        ([HEAD + b"Connection: close\r\nContent-Length: 4\r\n\r\n", b"o", b"kok"], b" 202 "),
+        (READY * 2 + READY.replace(b"Host", b"Connection: close\r\nHost"), b" 200 "),
+        ([HEAD + b"Content-Length: 9\r\n\r\n", 0.9, b"a", 0.9, b"b"], b" 408 "),
+        (HEAD, b" 408 "),
+        (b"\0" * 20000, b" 400 "),
+        *(
+            (
+                HEAD
+                + b"".join(lengths)
+                + b"\r\n0\r\n\r\n"
+                + HEAD.replace(b": z", b": hidden")
+                + b"Content-Length: 0\r\n\r\n",
+                b" 400 ",
+            )
+            for lengths in itertools.permutations(
+                [b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"]
+            )
+        ),
+    ],
+    ids=range(20),
+)
 def test_bad_input_gets_an_error_status_and_the_relay_keeps_serving(town, data, answer):
     town.start()
     assert answer in town.raw(data, within=8).split(b"\r\n")[0] + b" "
@@ -237,9 +276,14 @@
     assert [call["id"] for call in town.calls] == ["after"]
 
 
-@pytest.mark.parametrize("limits, size, max_accepted", [
-    ({}, 10, 100), ({"disk_mb": 1}, 60000, 6), ({"memory_mb": 2}, 60000, 8),
-])
+@pytest.mark.parametrize(
+    "limits, size, max_accepted",
+    [
+        ({}, 10, 100),
+        ({"disk_mb": 1}, 60000, 6),
+        ({"memory_mb": 2}, 60000, 8),
+    ],
+)
 def test_a_full_relay_answers_503_and_stays_within_its_disk_limit(tmp_path, limits, size, max_accepted):
     town = RelayUnderTest(tmp_path, limits)
     try:
@@ -369,6 +413,7 @@
         time.sleep(0.05 * case)
         executed.append(call["id"])
         return (200, {})
+
     town.plan = plan
     town.start()
     accepted = {}
@@ -393,13 +438,14 @@
     town.move_platform(old_platform)
     town.platform_status, count = None, len(town.watches)
     (town.folder / "config.json").write_text("{")
-    town.relay.send_signal(signal.SIGHUP)       # an invalid file changes nothing
+    town.relay.send_signal(signal.SIGHUP)  # an invalid file changes nothing
     assert wait_until(lambda: any("not read" in event["event"] for event in town.events()))
     town.configure()
     town.relay.send_signal(signal.SIGHUP)
     paths = [f"/v1/endpoints{query}" for query in ("", "?index=1&wait=1000")]
-    assert wait_until(lambda: [path for _, path, port in town.watches[count:]
-                          if port == town.moves][:2] == paths, 1)
+    assert wait_until(
+        lambda: [path for _, path, port in town.watches[count:] if port == town.moves][:2] == paths, 1
+    )
     town.posts.clear()
     town.plan = lambda call: "drop" if call["id"] == "b" else (200, {})
     assert wait_until(lambda: len(town.calls_for("a")) == 2, 5) and town.submit("b", "once") == 202
@@ -417,7 +463,7 @@
             client.request("GET", "/ready")
             assert client.getresponse().read() == b""
             sock, idle_sockets = client.sock, []
-            with socket.create_connection(town.relay_address) as reset:      # must free its slot
+            with socket.create_connection(town.relay_address) as reset:  # must free its slot
                 reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 time.sleep(0.1)
             for _ in range(60):
@@ -438,25 +484,38 @@
     try:
         town.platform_status = 503
         town.start()
-        assert town.submit("a") == 202 and not town.calls      # held until there is a list
+        assert town.submit("a") == 202 and not town.calls  # held until there is a list
         town.platform_status = None
         assert wait_until(lambda: town.calls_for("a"))
-        assert town.ask("POST", "/notice", {"X-Request-Id": "b", "X-Deadline": "8000m",
-                                            "Envelope": "dest=70000"})[0] == 503
+        assert (
+            town.ask(
+                "POST", "/notice", {"X-Request-Id": "b", "X-Deadline": "8000m", "Envelope": "dest=70000"}
+            )[0]
+            == 503
+        )
         assert town.submit("c") == 202
     finally:
         town.close()
 
 
-@pytest.mark.parametrize("answer, state", [
-    (b"\0noise", "failed"), (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", "failed"),
-    (b"HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, "failed"),
-    (b"HTTP/1.1 503 Full\r\nno colon\r\n\r\n", "failed"),
-    (b"HTTP/1.1 500 No\r\nX-Endless: " + b"x" * 99999, "failed"),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", None), (b"HTTP/1.1 200 OK\r\nX-Half: ", None),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, None),
-    (b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: x1=x\r\nContent-Length: 0\r\n\r\nnoise", None),
-], ids=range(9))
+@pytest.mark.parametrize(
+    "answer, state",
+    [
+        (b"\0noise", "failed"),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", "failed"),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, "failed"),
+        (b"HTTP/1.1 503 Full\r\nno colon\r\n\r\n", "failed"),
+        (b"HTTP/1.1 500 No\r\nX-Endless: " + b"x" * 99999, "failed"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", None),
+        (b"HTTP/1.1 200 OK\r\nX-Half: ", None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 99999, None),
+        (
+            b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: x1=x\r\nContent-Length: 0\r\n\r\nnoise",
+            None,
+        ),
+    ],
+    ids=range(9),
+)
 def test_a_malformed_answer_ends_its_attempt_and_its_connection_before_the_timeout(town, answer, state):
     """Unless the answer is a whole delivery, the call may have run, so that the message is not sent again."""
     town.plan = lambda call: answer if call["id"] == "a" else (200, {})
@@ -492,7 +551,7 @@
     for i in range(8):
         for name in (f"a{i}", f"b{i}"):
             assert town.submit(name) == 202 and wait_until(lambda name=name: town.calls_for(name))
-            time.sleep(0.15)        # the connection is idle, then used again
+            time.sleep(0.15)  # the connection is idle, then used again
     assert wait_until(lambda: all(len(town.calls_for(f"b{i}")) == 2 for i in range(8)), 2)
     journal = b"".join(file.read_bytes() for file in (town.folder / "state").glob("seg-*"))
     assert journal.count(b'"stale"') >= 2
--- a/tests/wrong_relay.py
+++ b/tests/wrong_relay.py
@@ -1,7 +1,6 @@
-"""Relays that are faulty in one way each; the emulator's judge must detect every one. Run as its relay:
+"""Relays that are faulty in one way each; the emulator's judge must detect every one. Run as its relay
+by `python tests/wrong_relay.py MODE`."""
 
-    python tests/wrong_relay.py MODE
-"""
 import sys
 import time
 
