Failing test: a start with the platform's listening socket ends with EADDRINUSE

RelayUnderTest starts processes so now (socket, second address, private TMPDIR, limit on descriptors).

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -159,6 +160,9 @@
 }
 
 
+SOCKET_FD = 5  # the descriptor under which the platform passes the clients' listening socket
+
+
 def address_of_worker():
     """A loopback address that no other test process uses. A relay's port is free while the relay is down; if
     another test's relay bound it then, that relay would receive this test's messages."""
@@ -166,16 +170,24 @@
     return f"127.40.{worker}.1"
 
 
+def free_address():
+    """A free (address, port) of this test process."""
+    with socket.socket() as free_socket:
+        free_socket.bind((address_of_worker(), 0))
+        return free_socket.getsockname()
+
+
 class RelayUnderTest(ScriptedPeers):
     """Scripted hosts and platform, and one relay that is started with the command of the deploy file."""
 
     def __init__(self, folder, limits=None, known=True, slots=8, hosts=("h1", "h2")):
         super().__init__(hosts)
         self.folder, self.relay, self.known = folder, None, known
-        with socket.socket() as free_socket:
-            free_socket.bind((address_of_worker(), 0))
-            self.relay_address = free_socket.getsockname()
+        self.relay_address, self.ops_address = free_address(), free_address()
+        self.platform_listener = None  # the clients' listening socket, where the platform holds it
+        self.processes = []  # all that were started, so that none is left behind
         (folder / "state").mkdir()
+        (folder / "tmp").mkdir()
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3} | (limits or {})
         self.settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {"call-slots": slots}}
 
@@ -185,6 +197,7 @@
         config = {
             "name": "n0",
             "listen": "{}:{}".format(*self.relay_address),
+            "ops": "{}:{}".format(*self.ops_address),
             "seed": "8c1f30d27a5be964",
             "known": known,
             "discovery": "{}:{}".format(*self.discovery),
@@ -198,21 +211,48 @@
 
         `faults`: variables of courseroute/emulator/shims/sitecustomize.py, such as wall_clock_step_s=-2.
         """
+        self.relay = self.launch(**faults)
+        return not wait or wait_until(lambda: self.ask("GET", "/ready")[0] == 200)
+
+    def hold_listener(self):
+        """Opens the clients' listening socket; every process started from now on inherits it."""
+        self.platform_listener = socket.create_server(self.relay_address, backlog=512)
+
+    def launch(self, **faults):
+        """Starts one more process with the deploy file's command, as the platform does; returns it."""
         self.configure()
-        env = {"ROUTER_CONFIG": str(self.folder / "config.json"), "ROUTER_STATE": str(self.folder / "state")}
+        env = {
+            "ROUTER_CONFIG": str(self.folder / "config.json"),
+            "ROUTER_STATE": str(self.folder / "state"),
+            "ROUTER_LISTEN": "{}:{}".format(*self.relay_address),
+            "ROUTER_OPS": "{}:{}".format(*self.ops_address),
+            "TMPDIR": str(self.folder / "tmp"),
+        }
+        if self.platform_listener:
+            env["ROUTER_SOCKET_FD"] = str(SOCKET_FD)
         if faults:
             env |= {name.upper(): str(value) for name, value in faults.items()}
             env["PYTHONPATH"] = str(ROOT / "courseroute" / "emulator" / "shims")
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        self.log = open(self.folder / "out", "ab")
-        self.relay = subprocess.Popen(
-            ["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
-            cwd=ROOT,
-            env=os.environ | env,
-            stdout=self.log,
-            stderr=self.log,
-        )
-        return not wait or wait_until(lambda: self.ask("GET", "/ready")[0] == 200)
+        with open(self.folder / "out", "ab") as log:
+            process = subprocess.Popen(
+                ["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
+                cwd=ROOT,
+                env=os.environ | env,
+                stdout=log,
+                stderr=log,
+                close_fds=False,
+                preexec_fn=self.prepare_descriptors,
+            )
+        self.processes.append(process)
+        return process
+
+    def prepare_descriptors(self):
+        """Runs in the new process: passes the listening socket and sets the limit on descriptors."""
+        if self.platform_listener:
+            os.dup2(self.platform_listener.fileno(), SOCKET_FD)
+            os.set_inheritable(SOCKET_FD, True)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.limits["sockets"], self.limits["sockets"]))
 
     def ask(self, method, path, headers=None, body=b"", within=2):
         """(status, headers) of the answer; (0, {}) if none came."""
@@ -267,11 +307,16 @@
             self.relay.send_signal(signal_number)
             exit_code = self.relay.wait(10)
             self.relay = None
-            self.log.close()
             return exit_code
 
     def close(self):
-        self.end()
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait(10)
+        if self.platform_listener:
+            self.platform_listener.close()
         super().close()
 
 
