A relay serves on the listening socket that the platform holds and passes on

Cause: Relay.run bound told["listen"] itself in every case and let the error end the process. Class: a start that knows one way to come by what it needs, and takes each failure for final.

Change: run.listeners adopts the inherited socket (a duplicate, never shut down, listen only where nobody has), else binds; an address that is in use is logged once and tried again (run.retry). A descriptor that is no stream socket is logged and the address is bound.

--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -12,7 +12,7 @@
 from courseroute.checked import Bad, Mistake, made, span
 from courseroute.checked import read as read_toml
 from courseroute.model.terms import flatten_settings, parse_settings
-from courseroute.run.setup import Setup, told_of
+from courseroute.run.setup import MAX_DESCRIPTORS, Setup, told_of
 from courseroute.wire.protocol import parse_address
 
 NOTIFIED_WITHIN = 6 * 10**9  # ns until changes known to discovery count as received, despite failures
@@ -23,6 +23,7 @@
     "state": "ROUTER_STATE",
     "name": "ROUTER_NAME",
 }
+INHERITED_SOCKET = "ROUTER_SOCKET_FD"  # number of the descriptor on which clients connect
 
 
 def read(environ=os.environ):
@@ -30,9 +31,18 @@
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise Bad("ROUTER_CONFIG", [Mistake("", "no such variable", "the path of a configuration file")])
-    if path.endswith(".toml"):
-        return figures(made(read_toml(path), Setup, path))
-    return read_platform(path, environ)
+    is_toml = path.endswith(".toml")
+    told = figures(made(read_toml(path), Setup, path)) if is_toml else read_platform(path, environ)
+    return told | {"descriptor": parse_descriptor(environ.get(INHERITED_SOCKET, ""))}
+
+
+def parse_descriptor(text):
+    """The number of an inherited descriptor; None where there is none."""
+    if not text:
+        return None
+    if not text.isdecimal() or int(text) > MAX_DESCRIPTORS:
+        raise Bad(INHERITED_SOCKET, [Mistake("", text[:20], "the number of a descriptor")])
+    return int(text)
 
 
 def read_platform(path, environ):
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -29,6 +29,8 @@
     "bytes behind",
     "load report",
     "folder not",
+    "address not free",
+    "inherited socket not usable",
 )
 ERRORS = ("fault",)
 POLL = select.poll()
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -17,6 +17,7 @@
 from courseroute.run import config, startup_signals
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
+from courseroute.run.listeners import open_client_socket, start_listening
 from courseroute.run.logbook import log_event, set_log
 from courseroute.run.standstill import Standstills
 from courseroute.state.endpoint_cache import EndpointCache
@@ -77,9 +78,7 @@
         standstills = Standstills(time.monotonic_ns)
         trio.lowlevel.add_instrument(standstills)
         tracker.longest_unread_ns = standstills.unread_for
-        listener = trio.socket.socket()
-        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
-        await listener.bind(told["listen"])
+        listener = await open_client_socket(told["descriptor"], told["listen"], log_event)
         async with trio.open_nursery() as nursery:
             keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
             pool = ConnectionPool(most_calls, keep_for, time.monotonic_ns, tracker.max_idle_time)
@@ -100,7 +99,7 @@
             half_read = int(told["memory"] * limits["partial_requests_share"])
             self.clients = Clients(tracker, limits, listener, most, refusing, half_read, log_event)
             tracker.close_idle_clients = self.clients.close_idle
-            listener.listen(limits["backlog"])
+            await start_listening(listener, limits["backlog"], log_event)
             tracker.ready = True
             self.enter(Phase.SERVING, restored=len(tracker.held), owed=len(tracker.pending_notices))
             await nursery.start(self.handle_signals)
