A process answers at its second address whether it is ready to serve

The platform asks the new process at the address in ops / ROUTER_OPS, as both processes share the clients' socket; nobody listened there, so the yes that is due within 6 s never came.

Cause: run.config did not read the address.

Change: wire.operators answers GET /ops/readiness, one call a connection, with bounds of its own (8 callers, 3 s); it opens before everything else and tries again while its address is in use, without delaying clients. Accepting and ending connections is shared with the clients' server (wire.server_sockets). Relay.run is taken apart into build, recover and start_serving; the wake-ups are in run.alarm, the phases in run.phase. A SIGTERM before anything was accepted ends the process as before. Log lines carry the pid, as two processes of a relay may write one log.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -95,6 +95,8 @@
     "max_recent_ends": 1024,
     "max_attempts": 8,
     "backlog": 512,
+    "max_operators": 8,
+    "operator_timeout": 3 * S,
     "idle_timeout": 5 * S,
     "idle_share": 0.8,
     "compaction_pause": S // 250,
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -22,6 +22,7 @@
     "directory": "ROUTER_DISCOVERY",
     "state": "ROUTER_STATE",
     "name": "ROUTER_NAME",
+    "ops": "ROUTER_OPS",
 }
 INHERITED_SOCKET = "ROUTER_SOCKET_FD"  # number of the descriptor on which clients connect
 
@@ -91,6 +92,7 @@
         "name": setup.name,
         "listen": parse_address(setup.listen),
         "discovery": parse_address(setup.directory),
+        "ops": parse_address(setup.ops) if setup.ops else None,
         "state": setup.state,
         "known": None,
         "keeps_list": True,
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -1,6 +1,6 @@
 """Runs one relay: startup, recovery, serving, shutdown."""
 
-import enum
+import os
 import signal
 import time
 
@@ -15,10 +15,12 @@
 from courseroute.journal.store import Journal
 from courseroute.journal.syncer import Syncer
 from courseroute.run import config, startup_signals
+from courseroute.run.alarm import Alarm
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
-from courseroute.run.listeners import open_client_socket, start_listening
+from courseroute.run.listeners import open_client_socket, open_socket, start_listening
 from courseroute.run.logbook import log_event, set_log
+from courseroute.run.phase import Phase
 from courseroute.run.standstill import Standstills
 from courseroute.state.endpoint_cache import EndpointCache
 from courseroute.state.metrics import LOOP_DELAY
@@ -28,27 +30,21 @@
 from courseroute.wire.discovery import Discovery, Watch
 from courseroute.wire.hosts import Hosts
 from courseroute.wire.notices import Notices
+from courseroute.wire.operators import Operators
 from courseroute.wire.protocol import parse_endpoint_list
 
 REPORT_EVERY_S = 10.0  # between two reports of counters in the log
 LOCK_TIMEOUT_S = 2.0  # a killed predecessor releases its lock within this time
 
 
-class Phase(enum.Enum):
-    STARTING = "starting"  # nothing is open yet
-    RECOVERING = "recovering"  # the journal is replayed and its messages are scheduled
-    SERVING = "serving"
-    LEAVING = "leaving"  # asked to stop: still serves, accepts what can be sent in time
-    CLOSING = "closing"  # no new calls; requests in progress are answered
-    ENDED = "ended"
-
-
 class Relay:
     """One relay in this process; `told`: its settings as `config.read` returns them."""
 
     def __init__(self, told):
         self.told, self.phase = told, Phase.STARTING
-        self.alarm_at, self.alarm_set, self.left = None, trio.Event(), trio.Event()
+        self.left = trio.Event()
+        self.nursery = self.tracker = None
+        self.reload_due = False  # SIGHUP came before there was anything to reload
 
     def enter(self, phase, **fields):
         """Changes the phase and logs it."""
@@ -57,66 +53,103 @@
 
     async def run(self):
         """Runs the relay from startup to the end of shutdown."""
+        async with trio.open_nursery() as self.nursery:
+            await self.nursery.start(self.handle_signals)
+            if self.told["ops"]:
+                self.nursery.start_soon(self.serve_operators)
+            self.lock = lock(self.told["state"], LOCK_TIMEOUT_S)
+            listener = await open_client_socket(self.told["descriptor"], self.told["listen"], log_event)
+            self.build(listener)
+            self.recover()
+            await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
+            self.start_serving()
+            await self.left.wait()
+            await self.close(listener)
+            self.nursery.cancel_scope.cancel()
+        if self.tracker:
+            self.journal.close()
+            self.log_figures()
+        self.enter(Phase.ENDED, **self.counts())
+
+    def counts(self):
+        """Log fields: messages held, notices pending."""
+        if not self.tracker:
+            return {}
+        return {"held": len(self.tracker.held), "owed": len(self.tracker.pending_notices)}
+
+    async def serve_operators(self):
+        """Serves the second address once it is free; a start does not wait for it."""
+        listener = await open_socket(self.told["ops"], log_event)
+        await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
+        await Operators(RELAY_LIMITS, self.answer_operator, log_event).serve(listener)
+
+    def answer_operator(self, call):
+        """(status, body) for an OperatorCall."""
+        return 200 if self.phase.is_ready else 503, f"{self.phase.value}\n".encode()
+
+    def build(self, listener):
+        """Creates the parts of the relay and connects them; nothing is sent or written yet, apart from a new
+        clock's offset."""
         told, limits, terms = self.told, RELAY_LIMITS, dict(self.told["terms"])
         kept_list = int(told["disk"] * limits["endpoint_cache_share"]) if told["keeps_list"] else 0
         syncs = told["sync"] != "off"
-        self.lock = lock(told["state"], LOCK_TIMEOUT_S)
-        clock = open_clock(Disk(told["state"]), syncs=syncs)
-        self.clock = clock.now
+        self.relay_clock = open_clock(Disk(told["state"]), syncs=syncs)
+        clock = self.relay_clock.now
         learned = int(told["disk"] * limits["learned_state_share"])
         room = told["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
-        journal = Journal(Disk(told["state"]), room, told["name"], syncs)
+        self.journal = Journal(Disk(told["state"]), room, told["name"], syncs)
         self.endpoint_cache = EndpointCache(told["state"], kept_list) if kept_list else None
         most_calls = int(told["sockets"] * limits["host_connections"])
         terms["slots"] = min(terms.get("slots", most_calls), most_calls)  # each call needs a connection
-        dispatcher = Dispatcher(told["seed"], terms)
         self.tracker = tracker = MessageTracker(
-            dispatcher, terms, limits, journal, told["memory"], self.clock, log_event
+            Dispatcher(told["seed"], terms), terms, limits, self.journal, told["memory"], clock, log_event
         )
         tracker.learned = Learned(told["state"], log_event, learned, syncs)
-        tracker.syncer = Syncer(journal, told["sync"], told["sync_every"], log_event)
+        tracker.syncer = Syncer(self.journal, told["sync"], told["sync_every"], log_event)
         standstills = Standstills(time.monotonic_ns)
         trio.lowlevel.add_instrument(standstills)
         tracker.longest_unread_ns = standstills.unread_for
-        listener = await open_client_socket(told["descriptor"], told["listen"], log_event)
-        async with trio.open_nursery() as nursery:
-            keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
-            pool = ConnectionPool(most_calls, keep_for, time.monotonic_ns, tracker.max_idle_time)
-            tracker.hosts = Hosts(nursery, tracker, pool, limits, terms, self.clock, log_event)
-            tracker.notices = Notices(tracker, limits, told["discovery"], log_event)
-            watch = Watch(terms["listed_rates"], None)
-            tracker.discovery = Discovery(
-                nursery, tracker, tracker.hosts, limits, told["discovery"], watch, self.clock, log_event
-            )
-            tracker.set_wakeup, tracker.on_exit = self.set_alarm, self.left.set
-            self.enter(Phase.RECOVERING, clock="kept" if clock.continues else "new")
-            tracker.notify_dispatcher("start")
-            self.load_initial_endpoints(watch)
-            tracker.recover(same_clock=clock.continues)
-            most, refusing = (
-                int(told["sockets"] * limits[name]) for name in ("client_connections", "refusing")
-            )
-            half_read = int(told["memory"] * limits["partial_requests_share"])
-            self.clients = Clients(tracker, limits, listener, most, refusing, half_read, log_event)
-            tracker.close_idle_clients = self.clients.close_idle
-            await start_listening(listener, limits["backlog"], log_event)
-            tracker.ready = True
-            self.enter(Phase.SERVING, restored=len(tracker.held), owed=len(tracker.pending_notices))
-            await nursery.start(self.handle_signals)
-            for task in (self.clients.serve, tracker.notices.serve, self.alarms):
-                nursery.start_soon(task)
-            nursery.start_soon(self.sweep, pool)
-            nursery.start_soon(self.compact, journal)
-            nursery.start_soon(tracker.syncer.serve)
-            nursery.start_soon(self.report)
-            await self.left.wait()
-            await self.close(listener)
-            nursery.cancel_scope.cancel()
-        journal.close()
-        self.log_figures()
-        self.enter(Phase.ENDED, held=len(tracker.held), owed=len(tracker.pending_notices))
+        keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
+        self.pool = ConnectionPool(most_calls, keep_for, time.monotonic_ns, tracker.max_idle_time)
+        tracker.hosts = Hosts(self.nursery, tracker, self.pool, limits, terms, clock, log_event)
+        tracker.notices = Notices(tracker, limits, told["discovery"], log_event)
+        self.watch = Watch(terms["listed_rates"], None)
+        tracker.discovery = Discovery(
+            self.nursery, tracker, tracker.hosts, limits, told["discovery"], self.watch, clock, log_event
+        )
+        self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
+        tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
+        most, refusing = (int(told["sockets"] * limits[name]) for name in ("client_connections", "refusing"))
+        half_read = int(told["memory"] * limits["partial_requests_share"])
+        self.clients = Clients(tracker, limits, listener, most, refusing, half_read, log_event)
+        tracker.close_idle_clients = self.clients.close_idle
+
+    def recover(self):
+        """Loads the endpoint list and replays the journal."""
+        continues = self.relay_clock.continues
+        self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
+        self.tracker.notify_dispatcher("start")
+        self.load_initial_endpoints()
+        self.tracker.recover(same_clock=continues)
 
-    def load_initial_endpoints(self, watch):
+    def start_serving(self):
+        """Starts all tasks."""
+        self.tracker.ready = True
+        self.enter(Phase.SERVING, restored=len(self.tracker.held), owed=len(self.tracker.pending_notices))
+        for task in (
+            self.clients.serve,
+            self.tracker.notices.serve,
+            self.alarm.serve,
+            self.sweep,
+            self.compact,
+            self.tracker.syncer.serve,
+            self.report,
+        ):
+            self.nursery.start_soon(task)
+        if self.reload_due or startup_signals.hangup_came:
+            self.reload()
+
+    def load_initial_endpoints(self):
         """Loads the endpoint list from the cache, or from the configuration where that supplies it."""
         known = self.endpoint_cache.load() if self.endpoint_cache else self.told["known"]
         if self.endpoint_cache:
@@ -128,7 +161,7 @@
         except ValueError as cause:  # an invalid saved list must not prevent the start
             log_event("saved list not read", error=str(cause)[:200])
             return
-        watch.index = None if self.endpoint_cache else index
+        self.watch.index = None if self.endpoint_cache else index
         self.tracker.discovery.apply_endpoints("saved", entries, addresses)
 
     async def close(self, listener):
@@ -157,14 +190,20 @@
         """SIGTERM and SIGINT start the shutdown, SIGHUP reloads the configuration."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             task_status.started()
-            if startup_signals.hangup_came:
-                self.reload()
             async for number in signals:
-                if number == signal.SIGHUP:
+                if number == signal.SIGHUP and self.phase.holds_nothing:
+                    self.reload_due = True
+                elif number == signal.SIGHUP:
                     self.reload()
+                elif self.phase.holds_nothing:
+                    self.nursery.cancel_scope.cancel()
                 elif self.phase is Phase.SERVING:
-                    self.enter(Phase.LEAVING, held=len(self.tracker.held))
-                    self.tracker.notify_dispatcher("stop")
+                    self.leave()
+
+    def leave(self):
+        """Starts the shutdown."""
+        self.enter(Phase.LEAVING, held=len(self.tracker.held))
+        self.tracker.notify_dispatcher("stop")
 
     def reload(self):
         """Reloads the configuration. The discovery address changes at once and open messages are kept; other
@@ -192,37 +231,19 @@
             self.tracker.notices.set_address(address)
             self.tracker.discovery.set_address(address)
 
-    def set_alarm(self, delay):
-        """Wakes the dispatcher in `delay` nanoseconds, or earlier if an earlier wake-up is set."""
-        at = self.clock() + delay
-        self.alarm_at = min(at, self.alarm_at or at)
-        self.alarm_set.set()
-
-    async def alarms(self):
-        """Wakes the dispatcher at the times that `set_alarm` sets."""
-        while True:
-            self.alarm_set = trio.Event()
-            left = self.alarm_at - self.clock() if self.alarm_at else RELAY_LIMITS["idle_timeout"]
-            with trio.move_on_after(max(0, left) / 1e9):
-                await self.alarm_set.wait()
-                continue
-            if self.alarm_at and self.clock() >= self.alarm_at:
-                self.alarm_at = None
-                self.tracker.notify_dispatcher("wake")
-
-    async def compact(self, journal):
+    async def compact(self):
         """Runs compaction slices between other work."""
         while True:
-            busy = journal.wants() and self.tracker.run_guarded(journal.step)
+            busy = self.journal.wants() and self.tracker.run_guarded(self.journal.step)
             await trio.sleep(RELAY_LIMITS["compaction_pause" if busy else "short_retry_delay"] / 1e9)
 
-    async def sweep(self, pool):
+    async def sweep(self):
         """Periodic maintenance: closes stale connections and retries writes that failed."""
         while True:
             due = time.monotonic_ns() + RELAY_LIMITS["sweep_interval"]
             await trio.sleep(RELAY_LIMITS["sweep_interval"] / 1e9)
             self.tracker.metrics.record_longest(LOOP_DELAY, time.monotonic_ns() - due)
-            pool.close_stale()
+            self.pool.close_stale()
             self.tracker.retry_unwritten()
             self.tracker.save_learned_state()
             if self.endpoint_cache:
@@ -231,7 +252,7 @@
 
 def main(told):
     """Runs a relay with these settings; returns the exit code of the process."""
-    set_log(**told["log"], relay=told["name"])
+    set_log(**told["log"], relay=told["name"], pid=os.getpid())
     code = 0
     try:
         trio.run(Relay(told).run)
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -115,6 +115,7 @@
     name: str = "relay"
     listen: Place
     directory: Place
+    ops: Place | None = None  # for operators; none: off
     state: str
     seed: Seed = ""  # empty: random at each start
     limits: Limits = msgspec.field(default_factory=Limits)
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -1,6 +1,5 @@
 """Serves the clients' connections: reads requests, passes them to the tracker, writes its answers."""
 
-import errno
 import os
 import select
 import socket
@@ -8,11 +7,9 @@
 import trio
 
 from courseroute.wire.http import ProtocolError, ServerConnection
+from courseroute.wire.server_sockets import accept_connections, finish_sending
 from courseroute.wire.socket_probe import ns_since_last_byte
 
-RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
-ACCEPT_RETRY_S = 0.05
-
 
 class ClientConnection:
     """A client's connection and its state."""
@@ -54,30 +51,14 @@
         # sets.
         self.silent, self.idle = {}, {}
         self.closing = False
-        self.at_limit = self.lacks_resources = False
+        self.at_limit = False
 
     async def serve(self):
         """Accepts connections until the listener is closed."""
         async with trio.open_nursery() as nursery:
-            while True:
-                try:
-                    sock, _ = await self.listener.accept()
-                except OSError as cause:
-                    if cause.errno in RESOURCE_ERRORS:
-                        await self.wait_for_resources(cause)
-                    continue
-                except trio.ClosedResourceError:
-                    return
-                self.lacks_resources = False
+            async for sock in accept_connections(self.listener, self.log):
                 nursery.start_soon(self.handle_connection, sock)
 
-    async def wait_for_resources(self, cause):
-        """Waits before the next accept. Logs the first failure in a row."""
-        if not self.lacks_resources:
-            self.lacks_resources = True
-            self.log("no descriptors for a client", error=str(cause))
-        await trio.sleep(ACCEPT_RETRY_S)
-
     async def handle_connection(self, sock):
         connection = ClientConnection(
             sock, ServerConnection(self.limits["max_head_bytes"], self.limits["max_body_bytes"])
@@ -164,11 +145,7 @@
                     return
         except ProtocolError as cause:
             await self.write(stream, http.answer(cause.status, body=f"{cause}\n".encode(), close=True))
-            # Closing a socket with unread bytes resets the connection, and the answer could be lost.
-            with trio.move_on_after(self.limits["closing_grace"] / 1e9):
-                await stream.send_eof()
-                while await stream.receive_some(self.limits["max_body_bytes"]):
-                    pass
+            await finish_sending(stream, self.limits["closing_grace"] / 1e9)
         except EOFError:
             pass
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -177,6 +177,19 @@
         return free_socket.getsockname()
 
 
+def call(address, method, path, headers=None, body=b"", within=2):
+    """(status, headers) of the answer to a call on a new connection; (0, {}) if none came."""
+    connection = http.client.HTTPConnection(*address, timeout=within)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders())
+    except (OSError, http.client.HTTPException):
+        return 0, {}
+    finally:
+        connection.close()
+
+
 class RelayUnderTest(ScriptedPeers):
     """Scripted hosts and platform, and one relay that is started with the command of the deploy file."""
 
@@ -256,15 +269,11 @@
 
     def ask(self, method, path, headers=None, body=b"", within=2):
         """(status, headers) of the answer; (0, {}) if none came."""
-        connection = http.client.HTTPConnection(*self.relay_address, timeout=within)
-        try:
-            connection.request(method, path, body, headers or {})
-            answer = connection.getresponse()
-            return answer.status, dict(answer.getheaders())
-        except (OSError, http.client.HTTPException):
-            return 0, {}
-        finally:
-            connection.close()
+        return call(self.relay_address, method, path, headers, body, within)
+
+    def is_process_ready(self):
+        """Whether the process at the operators' address says that it is ready to serve."""
+        return call(self.ops_address, "GET", "/ops/readiness", within=1)[0] == 200
 
     def submit(self, name, lane="notice", body=b"x", left="8000m", **more):
         """Submits a message with a POST; returns the status, 0 without an answer."""
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from helpers import RelayUnderTest, wait_until
+from helpers import RelayUnderTest, call, wait_until
 
 
 @pytest.fixture
@@ -48,6 +48,36 @@
         town.close()
 
 
+# Report ad6129: the platform asks a new process at its second address whether it is ready; nobody listened.
+def test_a_process_says_at_its_second_address_that_it_is_ready(town):
+    assert town.start() and town.is_process_ready()
+    answers = [
+        call(town.ops_address, method, path)[0]
+        for method, path in (("GET", "/ready"), ("POST", "/ops/readiness"), ("GET", "/ops/readiness?x=1"))
+    ]
+    assert answers == [404, 405, 200]
+
+
+# Guards against operators who wait because other callers finish no call.
+def test_callers_that_finish_no_call_keep_no_operator_waiting(town):
+    town.start()
+    idle = [socket.create_connection(town.ops_address) for _ in range(40)]
+    for sock in idle[::2]:
+        sock.sendall(b"GET /ops/rea")
+    assert town.is_process_ready() and town.submit("a") == 202
+    for sock in idle:  # each is answered too
+        sock.settimeout(5)
+        assert b" 408 " in sock.recv(100)
+        sock.close()
+
+
+# Guards against a second address that is not free keeping clients from a relay.
+def test_a_second_address_in_use_does_not_delay_the_start(town):
+    with socket.create_server(town.ops_address):
+        assert town.start() and town.submit("a") == 202
+    assert wait_until(town.is_process_ready)
+
+
 def logged(town, event):
     """The events of that name in the relay's log."""
     return [line for line in town.events() if line["event"] == event]
