A new process takes the folder over from the one beside it, instead of ending

At SIGTERM the old process knew of no successor and left for 3 s, with the clients' socket unattended at its end.

Cause: lock() took a folder in use for a mistake, and Relay.run asked for it before anything else.

Change: run.handover. The new process waits as the successor (a second lock in the folder), with the endpoint list watched, and says yes in that phase. Then the new one replays and accepts; what waits on the socket is its. Old requests read in part get 503.

On the way one new connection was reset: sockets accepted but not yet admitted were not counted, now they are.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -73,6 +73,10 @@
 KEY_HELD_AFTER_DEADLINE = 1 * S
 # Times after the request to stop: the end of sending, and the exit.
 LAST_SEND_AFTER, EXIT_AFTER = 2400 * MS, 3000 * MS
+# Times that calls which are out get to return when a successor waits: those that the successor may repeat,
+# and the others, which would fail.
+REPEATABLE_CALLS_RETURN_WITHIN, CALLS_RETURN_WITHIN = 400 * MS, 1500 * MS
+REPLAY_TIME = 500 * MS  # until the successor can repeat a call
 # Key of the endpoint list's state among the stored records. No host has this name, so earlier
 # versions skip it.
 ENDPOINT_LIST_KEY = ""
@@ -133,6 +137,7 @@
         self.idle_losses = FailureRates(DURATION_EDGES[::3], 4 * HISTOGRAM_CAP)
         self.list_schedule, self.sending_paused = EndpointListSchedule(terms, self.uniform), False
         self.active_calls, self.watched_since, self.list_call_number, self.sends_end_at = 0, None, 0, 1 << 63
+        self.handing_over = False  # a successor takes the messages over: nothing is sent
         self.unlisted = Destination(None)  # destination of all messages whose own is not listed
         self.slots = terms.get("slots") or 1
         self.relays = max(1, terms.get("relays") or 1)
@@ -239,7 +244,7 @@
         """Restores the record of one host, or of the endpoint list. Raises TypeError or ValueError if it is
         malformed."""
         if name == ENDPOINT_LIST_KEY:
-            self.list_schedule.restore_state(host_values)
+            self.list_schedule.restore_state(host_values, now - age)
         host = self.hosts.get(name)
         if host is None:
             return
@@ -323,6 +328,8 @@
         attempt = self.attempts.get((name, number))
         if attempt is None or attempt.message.is_closed:
             return HoldCause.CLOSED
+        if self.handing_over:
+            return HoldCause.HANDING_OVER
         if not attempt.host.listed:
             return HoldCause.NOT_LISTED
         if self.list_schedule.is_unusable(now):
@@ -354,11 +361,27 @@
     def stop(self, now):
         """Starts the shutdown: messages that can't be sent in time go back to their clients if a retry is
         safe."""
-        self.sends_end_at = now + LAST_SEND_AFTER
+        self.sends_end_at, self.handing_over = now + LAST_SEND_AFTER, False
         self.schedule(self.sends_end_at, self.return_unsent)
         self.schedule(now + EXIT_AFTER, lambda now: self.actions.append(("exit",)))
         return self.take_actions()
 
+    def hand_over(self, now):
+        """A successor waits for the messages: nothing more is sent, and calls that are out get some time to
+        return. `stop` ends this where the successor is lost."""
+        self.handing_over = True
+        self.schedule(now + REPEATABLE_CALLS_RETURN_WITHIN, self.cancel_attempts, True)
+        self.schedule(now + CALLS_RETURN_WITHIN, self.cancel_attempts, False)
+        return self.take_actions()
+
+    def cancel_attempts(self, now, only_repeatable):
+        """Cancels the attempts that are out, or those of them that the successor may repeat."""
+        if not self.handing_over:
+            return
+        for (name, number), attempt in self.attempts.items():
+            if not only_repeatable or self.may_send(now + REPLAY_TIME, attempt.message):
+                self.actions.append(("cancel", name, number))
+
     def return_unsent(self, now):
         """Rejects messages that were not sent before the shutdown, if a retry is safe."""
         for message in [
@@ -425,7 +448,7 @@
     def end_batch(self, now):
         """Ends a batch: runs due events, sends due messages and requests the next timer."""
         self.run_due(now)
-        if now < self.sends_end_at:
+        if now < self.sends_end_at and not self.handing_over:
             self.dispatch_due(now)
         self.request_timer(now)
         return self.take_actions()
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -53,7 +53,7 @@
         self.continues_watch = False  # the last call was answered, so the next one continues it
         # Calls in a row without an answer in time, not counting the watch that failed first.
         self.failures = 0
-        self.failing_since = None
+        self.failing_since = self.answered_at = None
         self.announced_shutdown = False  # discovery announced that it shuts down and has not answered since
         self.retries_at_once = False
 
@@ -66,13 +66,16 @@
         has_failed = self.failing_since is not None or self.announced_shutdown
         return [self.usable_until, self.announced_shutdown] if has_failed else []
 
-    def restore_state(self, state):
+    def restore_state(self, state, saved_at):
         """Restores state after a restart, which must not extend the list's validity. A discovery that
         announced its shutdown stays down for the new process. One that only failed has to fail again for the
-        full time, as it may be crowded. Raises TypeError or ValueError if the state is malformed."""
+        full time, as it may be crowded. What was saved before discovery answered this process says nothing.
+        Raises TypeError or ValueError if the state is malformed."""
         usable_until, announced_shutdown = state
         if not (usable_until is None or type(usable_until) is int) or type(announced_shutdown) is not bool:
             raise TypeError(f"{usable_until!r:.40}, {announced_shutdown!r:.40}")
+        if self.answered_at is not None and self.answered_at >= saved_at:
+            return
         self.announced_shutdown = announced_shutdown
         if usable_until is not None and self.usable_until is not None:
             self.usable_until = min(self.usable_until, usable_until)
@@ -80,6 +83,7 @@
     def call_answered(self, now, as_of):
         """Discovery answered; its list had this content at `as_of`."""
         self.response_time = max(now - as_of, self.response_time * RESPONSE_TIME_DECAY)
+        self.answered_at = now
         self.continues_watch, self.failures, self.timeouts_in_a_row = True, 0, 0
         self.failing_since, self.announced_shutdown = None, False
         self.confirm(as_of)
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -8,6 +8,7 @@
 message (`refresh`), and by `run.relay`, which runs compaction (`step`).
 """
 
+import contextlib
 import random
 import time
 from typing import NamedTuple
@@ -96,6 +97,7 @@
         self.handle, self.newest, self.live = None, 0, 0
         self.refresh = None
         self.remembered = None
+        self.is_closed = False
         self.compaction = None  # the generator of the compaction in progress
         self.total_bytes, self.dead_bytes_checked = 0, 0  # the second: at the last search without a victim
         self.unsynced_handles = []  # handles of closed segments that are not synced yet
@@ -224,6 +226,8 @@
     def append(self, parts):
         """Writes records to the newest segment without accounting for them; starts a new segment if the
         newest one has reached its maximum size."""
+        if self.is_closed:
+            raise Full("the journal is closed")
         if self.handle is None or self.segments[self.newest][0] >= self.max_segment_bytes:
             self.begin()
         data = (
@@ -461,6 +465,21 @@
         return [self.disk.duplicate(handle) for handle in pending], closed
 
     def close(self):
-        """Closes all files without syncing them."""
+        """Closes all files without syncing them. Nothing can be written until `reopen`."""
         self.close_segment()
         self.release(self.unsynced_handles[:])
+        self.is_closed = True
+
+    def reopen(self):
+        """Goes on after `close`. Raises OSError where another process has changed the segments since."""
+        sizes = {self.segment_number(name): self.disk.size(name) for name in self.segment_names()}
+        if sizes != {number: size for number, (size, _) in self.segments.items()}:
+            raise OSError("another process has used the journal")
+        self.is_closed = False
+
+    def check_readable(self):
+        """Reads all segments, which another process may be writing and removing, and changes nothing. Raises
+        OSError where one can't be read, Newer where one is of a later version."""
+        for name in self.segment_names():
+            with contextlib.suppress(FileNotFoundError):
+                frames.header_of(self.disk.read(name), name)
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -39,8 +39,10 @@
         repeats it, else None.
     final_statuses_accepted(now, names)
         The final statuses of these messages are known outside the relay.
+    hand_over(now)
+        A successor waits for the messages: nothing more is sent, calls that are out are cancelled in time.
     stop(now)
-        The relay is requested to shut down.
+        The relay is requested to shut down; also where the successor was lost.
     wake(now)
         A requested timer fired.
     end_batch(now)
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -11,13 +11,14 @@
 from courseroute.journal.disk import Disk
 from courseroute.journal.frames import Newer
 from courseroute.journal.learned import Learned
-from courseroute.journal.lock import Held, lock
+from courseroute.journal.lock import has_successor
 from courseroute.journal.store import Journal
 from courseroute.journal.syncer import Syncer
 from courseroute.run import config, startup_signals
 from courseroute.run.alarm import Alarm
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
+from courseroute.run.handover import Handover, acquire_folder
 from courseroute.run.listeners import open_client_socket, open_socket, start_listening
 from courseroute.run.logbook import log_event, set_log
 from courseroute.run.phase import Phase
@@ -34,7 +35,6 @@
 from courseroute.wire.protocol import parse_endpoint_list
 
 REPORT_EVERY_S = 10.0  # between two reports of counters in the log
-LOCK_TIMEOUT_S = 2.0  # a killed predecessor releases its lock within this time
 
 
 class Relay:
@@ -57,9 +57,14 @@
             await self.nursery.start(self.handle_signals)
             if self.told["ops"]:
                 self.nursery.start_soon(self.serve_operators)
-            self.lock = lock(self.told["state"], LOCK_TIMEOUT_S)
             listener = await open_client_socket(self.told["descriptor"], self.told["listen"], log_event)
             self.build(listener)
+            await self.nursery.start(self.open_working_nursery)
+            self.tracker.notify_dispatcher("start")
+            self.load_initial_endpoints()
+            self.lock = await acquire_folder(
+                self.told["state"], self.journal.check_readable, lambda: self.enter(Phase.WAITING)
+            )
             self.recover()
             await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
             self.start_serving()
@@ -125,35 +130,50 @@
         tracker.close_idle_clients = self.clients.close_idle
 
     def recover(self):
-        """Loads the endpoint list and replays the journal."""
+        """Replays the journal."""
         continues = self.relay_clock.continues
         self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
-        self.tracker.notify_dispatcher("start")
-        self.load_initial_endpoints()
         self.tracker.recover(same_clock=continues)
 
     def start_serving(self):
         """Starts all tasks."""
+        if self.endpoint_cache:
+            self.tracker.discovery.on_endpoints = self.endpoint_cache.update_and_save
         self.tracker.ready = True
         self.enter(Phase.SERVING, restored=len(self.tracker.held), owed=len(self.tracker.pending_notices))
-        for task in (
-            self.clients.serve,
-            self.tracker.notices.serve,
-            self.alarm.serve,
-            self.sweep,
-            self.compact,
-            self.tracker.syncer.serve,
-            self.report,
-        ):
-            self.nursery.start_soon(task)
+        self.nursery.start_soon(self.clients.serve)
+        self.start_work()
         if self.reload_due or startup_signals.hangup_came:
             self.reload()
 
+    async def open_working_nursery(self, task_status):
+        """Runs the nursery of all tasks that send, or write to the folder, until `stop_working`."""
+        async with trio.open_nursery() as self.working:
+            self.tracker.hosts.nursery = self.tracker.discovery.nursery = self.working
+            self.working.start_soon(self.alarm.serve)
+            task_status.started()
+            await trio.sleep_forever()
+
+    def start_work(self):
+        """Starts the tasks that need the folder."""
+        tracker = self.tracker
+        for task in (tracker.notices.serve, self.sweep, self.compact, tracker.syncer.serve, self.report):
+            self.working.start_soon(task)
+
+    def stop_working(self):
+        """Ends all tasks that send, or write to the folder."""
+        self.working.cancel_scope.cancel()
+
+    async def resume_working(self):
+        """Starts them again."""
+        await self.nursery.start(self.open_working_nursery)
+        self.start_work()
+
     def load_initial_endpoints(self):
         """Loads the endpoint list from the cache, or from the configuration where that supplies it."""
         known = self.endpoint_cache.load() if self.endpoint_cache else self.told["known"]
         if self.endpoint_cache:
-            self.tracker.discovery.on_endpoints = self.endpoint_cache.update_and_save
+            self.tracker.discovery.on_endpoints = self.endpoint_cache.update
             if known is None:  # first start: the whole list is requested from discovery
                 return
         try:
@@ -166,11 +186,14 @@
 
     async def close(self, listener):
         """Shuts down without leaving a request unanswered: requests still being read get 503."""
-        self.tracker.ready = False
-        self.enter(Phase.CLOSING, held=len(self.tracker.held), clients=len(self.clients.open_connections))
+        tracker = self.tracker
+        tracker.ready = tracker.is_released  # a successor serves
+        self.enter(Phase.CLOSING, held=len(tracker.held), clients=len(self.clients.accepted))
+        if self.told["descriptor"] is not None:
+            self.clients.stop_accepting()  # what waits on a shared socket is for the next process
         self.clients.close_idle(include_silent=True)
         with trio.move_on_after(RELAY_LIMITS["closing_grace"] / 1e9):
-            while self.clients.open_connections or self.tracker.pending_notices:
+            while self.clients.accepted or (tracker.pending_notices and not tracker.is_released):
                 await trio.sleep(RELAY_LIMITS["short_retry_delay"] / 1e9)
         listener.close()
 
@@ -197,6 +220,8 @@
                     self.reload()
                 elif self.phase.holds_nothing:
                     self.nursery.cancel_scope.cancel()
+                elif self.phase is Phase.SERVING and has_successor(self.told["state"]):
+                    self.nursery.start_soon(Handover(self).run)
                 elif self.phase is Phase.SERVING:
                     self.leave()
 
@@ -256,7 +281,7 @@
     code = 0
     try:
         trio.run(Relay(told).run)
-    except* (Newer, Held) as group:  # logged in one line; the folder is unchanged
+    except* Newer as group:  # logged in one line; the folder is unchanged
         log_event("folder not usable", error=str(group.exceptions[0])[:300])
         code = 2
     return code
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -99,10 +99,15 @@
         )
         return False
 
-    def close_idle(self, host):
+    def close_idle(self, host, cause=ConnectionCloseCause.CONNECTIONS_UNRELIABLE):
         """Closes all idle connections to a host."""
         while host in self.idle:
-            self.discard(self.pop_idle(host, 0).connection, ConnectionCloseCause.CONNECTIONS_UNRELIABLE)
+            self.discard(self.pop_idle(host, 0).connection, cause)
+
+    def close_all(self):
+        """Closes all idle connections, as another process takes over."""
+        for host in list(self.idle):
+            self.close_idle(host, ConnectionCloseCause.HANDED_OVER)
 
     def close_stale(self):
         """Closes idle connections that timed out, were closed by the host, or have unexpected bytes to
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -111,6 +111,7 @@
             self.close_idle_clients
         ) = None
         self.queued_events, self.dispatching, self.ready = deque(), False, False
+        self.is_released = False  # another process has the folder: new messages are rejected
         self.longest_unread_ns = lambda: 0  # upper bound of the time a request waited before it was read
         self.syncer = None
         self.learned = None  # the file that keeps what the dispatcher has learned of the hosts
@@ -196,7 +197,7 @@
         """The CloseCause that rejects a message before the dispatcher is asked, else None."""
         if peer_closed:
             return CloseCause.CLIENT_GONE
-        if not self.ready:
+        if not self.ready or self.is_released:
             return CloseCause.NOT_READY
         return None if self.has_room(self.measure(msg)) else CloseCause.CAPACITY_EXCEEDED
 
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -10,6 +10,8 @@
 from courseroute.wire.server_sockets import accept_connections, finish_sending
 from courseroute.wire.socket_probe import ns_since_last_byte
 
+CLOSE_POLL_S = 0.005
+
 
 class ClientConnection:
     """A client's connection and its state."""
@@ -46,18 +48,37 @@
         self.partial_bytes_left = max_partial_bytes
         # In a request, between two.
         self.read_timeouts = limits["read_timeout"] / 1e9, limits["idle_timeout"] / 1e9
+        self.accepted = set()  # sockets, from their accept until they are closed
         self.open_connections = set()
         # Connections waiting for their first request, and those waiting for another one; used as ordered
         # sets.
         self.silent, self.idle = {}, {}
         self.closing = False
         self.at_limit = False
+        self.accepting = trio.CancelScope()
 
     async def serve(self):
-        """Accepts connections until the listener is closed."""
+        """Accepts connections until the listener is closed or `stop_accepting`; returns once all of them
+        are closed."""
         async with trio.open_nursery() as nursery:
-            async for sock in accept_connections(self.listener, self.log):
-                nursery.start_soon(self.handle_connection, sock)
+            with self.accepting:
+                async for sock in accept_connections(self.listener, self.log):
+                    self.accepted.add(sock)
+                    nursery.start_soon(self.handle_connection, sock)
+
+    def stop_accepting(self):
+        """Leaves further connections in the listener's queue, for another process that shares it."""
+        self.accepting.cancel()
+
+    def resume_accepting(self, nursery):
+        """Accepts again after `stop_accepting`, in a task of its own."""
+        self.accepting = trio.CancelScope()
+        nursery.start_soon(self.serve)
+
+    async def wait_all_closed(self):
+        """Returns once no connection is open."""
+        while self.accepted:
+            await trio.sleep(CLOSE_POLL_S)
 
     async def handle_connection(self, sock):
         connection = ClientConnection(
@@ -72,6 +93,7 @@
         finally:
             self.count_partial(connection, 0)
             self.forget(connection)
+            self.accepted.discard(sock)
             sock.close()
 
     async def admit(self, connection):
@@ -107,7 +129,7 @@
     def close_waiting(self, connection):
         """Closes a connection unless it has bytes to be read; its client may connect again. Only the pending
         read is cancelled: its task may have read bytes already that it has not processed."""
-        if poll_socket(connection.sock, select.POLLIN):
+        if has_unread(connection.sock):
             return False
         self.forget(connection)
         connection.is_closing = True
@@ -201,6 +223,11 @@
     return poll_socket(sock, select.POLLRDHUP)
 
 
+def has_unread(sock):
+    """Whether bytes, or the peer's end, can be read now."""
+    return poll_socket(sock, select.POLLIN)
+
+
 def poll_socket(sock, events):
     """Whether one of the poll events is set now."""
     poll = select.poll()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -231,6 +231,14 @@
         """Opens the clients' listening socket; every process started from now on inherits it."""
         self.platform_listener = socket.create_server(self.relay_address, backlog=512)
 
+    def start_beside(self):
+        """Starts a second process of the relay, with a second address of its own, beside the serving one;
+        returns that one once the new one says that it is ready, within the 6 s that the platform allows."""
+        old, self.ops_address = self.relay, free_address()
+        self.relay = self.launch()
+        assert wait_until(self.is_process_ready)
+        return old
+
     def launch(self, **faults):
         """Starts one more process with the deploy file's command, as the platform does; returns it."""
         self.configure()
