A request that arrives while its idle connection is closed is answered

Seen by callers: a request on a resting connection that the relay was about to close was reset unread; at an upgrade each costs its message a second connection.

Cause: Clients.close_waiting looks for unread bytes and cancels the read; the connection's task ends later, by up to the delay of the event loop, and closed the socket without a second look.

Change: the task looks once more when its read was cancelled, and reads a request that has begun to its end. A test on a socket pair (whole, and in two parts) failed before: the connection ended without an answer.

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -176,7 +176,7 @@
         while a request is awaited, so that a client that sends slowly or nothing does not keep its
         connection."""
         http, data, now = connection.http, None, trio.current_time()
-        if connection.is_closing:
+        if connection.is_closing and not (http.begun and connection.has_sent_request):
             raise EOFError
         if connection.request_started is None and http.begun:
             # Its first bytes came with the previous request.
@@ -190,6 +190,8 @@
         with trio.move_on_at(due) as connection.read_scope:
             data = await connection.stream.receive_some(self.limits["max_body_bytes"])
         waiting.pop(connection, None)
+        if data is None and connection.is_closing and has_unread(connection.sock):
+            data = await connection.stream.receive_some(self.limits["max_body_bytes"])
         if data is None:
             if http.begun and not connection.is_closing:
                 raise ProtocolError(408, "the request did not come in time")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,9 +8,15 @@
 import time
 
 import pytest
+import trio
+import trio.testing
 from helpers import RelayUnderTest, wait_until
 
+from courseroute.decide import RELAY_LIMITS
+from courseroute.wire.clients import Clients
+
 KILLED_AFTER_S = 3.7  # SIGTERM to SIGKILL
+REQUEST = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
 
 
 @pytest.fixture
@@ -222,3 +228,46 @@
     assert [event["event"] for event in town.events()].count("folder not usable") == 1
     os.kill(old.pid, signal.SIGTERM)
     assert old.wait(KILLED_AFTER_S) == 0 and wait_until(lambda: town.submit("b") == 202)
+
+
+class OneConnection:
+    """A listener that gives one connection, then none."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    async def accept(self):
+        if self.sock is None:
+            await trio.sleep_forever()
+        sock, self.sock = self.sock, None
+        return sock, None
+
+
+class Ready:
+    """In place of the tracker: answers every request with 200."""
+
+    def handle_request(self, request, peer_closed, unread):
+        return 200, (), b""
+
+
+# Guards against a request that is reset, as it arrives while its idle connection is being closed.
+@pytest.mark.parametrize("parts", [[REQUEST], [REQUEST[:20], REQUEST[20:]]])
+def test_a_request_that_arrives_as_its_connection_is_closed_is_answered(parts):
+    async def play():
+        ours, theirs = trio.socket.socketpair()
+        clients = Clients(Ready(), RELAY_LIMITS, OneConnection(ours), 9, 1, 9999, print)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients.serve)
+            await theirs.send(REQUEST)
+            assert b" 200 " in await theirs.recv(999)
+            await trio.testing.wait_all_tasks_blocked()
+            clients.close_idle()
+            for part in parts:  # the first one before the connection's task has run
+                await theirs.send(part)
+                await trio.testing.wait_all_tasks_blocked()
+            answer = await theirs.recv(999)
+            assert b" 200 " in answer and b"close" in answer
+            assert await theirs.recv(999) == b""
+            nursery.cancel_scope.cancel()
+
+    trio.run(play)
