A start waits until its folder can be read, and reads it anew then

Measured: on real processes, with each of the three files unreadable for 0.5 s; all three failed before (traceback for the segment, ready without the file for the others). The message of the first process is sent after the wait.

--- a/courseroute/journal/learned.py
+++ b/courseroute/journal/learned.py
@@ -47,12 +47,13 @@
         return True
 
     def read(self):
-        """(state, time it was learned in ns), or ([], 0) if there is no usable file."""
+        """(state, time it was learned in ns), or ([], 0) if there is no usable file. Raises OSError where
+        there is one that can't be read."""
         with contextlib.suppress(OSError):
             self.disk.remove(SPARE)
         try:
             data = self.disk.read(NAME)
-        except OSError:
+        except FileNotFoundError:
             return [], 0
         try:
             line, _, text = data.partition(b"\n")
--- a/courseroute/journal/store.py
+++ b/courseroute/journal/store.py
@@ -108,10 +108,13 @@
     def read(self):
         """Yields the records of earlier processes in order, as (kind, fields, body), and (DAMAGE,
         DamagedRange, b"") for each unreadable range. Truncates segments whose last write was interrupted by a
-        crash. Raises Newer if a file has an unsupported version."""
+        crash. Raises Newer if a file has an unsupported version. After an OSError it may be called again, and
+        begins anew."""
+        self.reset_accounting()
         names = self.disk.names()
         if old.NAME in names:
             self.convert_legacy_log(names)
+        without_header = []
         for name in self.segment_names():
             data = self.disk.read(name)
             number = frames.header_of(data, name)
@@ -120,7 +123,7 @@
                     self.disk.remove(name)
                 else:
                     self.losses.append(DamagedRange(self.segment_number(name), 0, len(data)))
-                    self.disk.rename(name, f"bad-{name}")
+                    without_header.append(name)
                     yield DAMAGE, self.losses[-1], b""
                 continue
             self.set_segment_size(number, len(data))
@@ -136,6 +139,13 @@
                     self.losses.append(DamagedRange(number, one.at, one.end - one.at))
                     yield DAMAGE, self.losses[-1], b""
             self.newest = max(self.newest, number)
+        for name in without_header:  # only now, as a repeated read must find the damage again
+            self.disk.rename(name, f"bad-{name}")
+
+    def reset_accounting(self):
+        """Forgets all segments and records."""
+        self.segments, self.entries, self.closing_by_segment, self.losses = {}, {}, {}, []
+        self.newest, self.total_bytes = 0, 0
 
     def segment_names(self):
         """The file names of the segments, oldest first."""
@@ -170,7 +180,7 @@
         for name in (old.SPARE, old.NAME):
             if name in names:
                 self.disk.remove(name)
-        self.segments, self.entries, self.closing_by_segment, self.newest, self.total_bytes = {}, {}, {}, 0, 0
+        self.reset_accounting()
 
     # Space.
 
--- a/courseroute/run/clock.py
+++ b/courseroute/run/clock.py
@@ -40,7 +40,8 @@
 
 def open_clock(disk, boot=None, syncs=False):
     """The clock saved in the folder, or a new one if none was saved since this boot. If the folder is not
-    writable, the next process starts a new clock; nothing else is affected."""
+    writable, the next process starts a new clock; nothing else is affected. Raises OSError where there is a
+    saved one that can't be read."""
     boot = boot_id() if boot is None else boot
     saved = read(disk)
     if saved and boot and saved.boot == boot and saved.monotonic_ns <= time.monotonic_ns():
@@ -60,13 +61,13 @@
 
 
 def read(disk):
-    """The file's content, or None if it is missing or damaged."""
+    """The file's content, or None if it is missing or damaged. Raises OSError if it can't be read."""
     try:
         check, _, data = disk.read(NAME).partition(b"\n")
         if check.decode("latin-1") != xxhash.xxh64_hexdigest(data):
             return None
         return msgspec.json.decode(data, type=SavedOffset)
-    except (OSError, msgspec.DecodeError):
+    except (FileNotFoundError, msgspec.DecodeError):
         return None
 
 
--- a/courseroute/run/logbook.py
+++ b/courseroute/run/logbook.py
@@ -29,6 +29,7 @@
     "bytes behind",
     "load report",
     "folder not",
+    "start failed",
     "successor lost",
     "address not free",
     "inherited socket not usable",
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -18,10 +18,11 @@
 from courseroute.run.alarm import Alarm
 from courseroute.run.clock import BYTES as CLOCK_BYTES
 from courseroute.run.clock import open_clock
-from courseroute.run.handover import Handover, acquire_folder
+from courseroute.run.handover import FOLDER_NOT_USABLE, Handover, acquire_folder
 from courseroute.run.listeners import open_client_socket, open_socket, start_listening
 from courseroute.run.logbook import log_event, set_log
 from courseroute.run.phase import Phase
+from courseroute.run.retry import retry_os_errors
 from courseroute.run.standstill import Standstills
 from courseroute.state.endpoint_cache import EndpointCache
 from courseroute.state.metrics import LOOP_DELAY
@@ -58,6 +59,7 @@
             if self.told["ops"]:
                 self.nursery.start_soon(self.serve_operators)
             listener = await open_client_socket(self.told["descriptor"], self.told["listen"], log_event)
+            self.relay_clock = await retry_os_errors(self.open_clock, FOLDER_NOT_USABLE, log_event)
             self.build(listener)
             await self.nursery.start(self.open_working_nursery)
             self.tracker.notify_dispatcher("start")
@@ -65,7 +67,7 @@
             self.lock = await acquire_folder(
                 self.told["state"], self.journal.check_readable, lambda: self.enter(Phase.WAITING)
             )
-            self.recover()
+            await retry_os_errors(self.recover, FOLDER_NOT_USABLE, log_event)
             await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
             self.start_serving()
             await self.left.wait()
@@ -93,12 +95,10 @@
         return 200 if self.phase.is_ready else 503, f"{self.phase.value}\n".encode()
 
     def build(self, listener):
-        """Creates the parts of the relay and connects them; nothing is sent or written yet, apart from a new
-        clock's offset."""
+        """Creates the parts of the relay and connects them; nothing is sent or written yet."""
         told, limits, terms = self.told, RELAY_LIMITS, dict(self.told["terms"])
         kept_list = int(told["disk"] * limits["endpoint_cache_share"]) if told["keeps_list"] else 0
         syncs = told["sync"] != "off"
-        self.relay_clock = open_clock(Disk(told["state"]), syncs=syncs)
         clock = self.relay_clock.now
         learned = int(told["disk"] * limits["learned_state_share"])
         room = told["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
@@ -129,10 +129,15 @@
         self.clients = Clients(tracker, limits, listener, most, refusing, half_read, log_event)
         tracker.close_idle_clients = self.clients.close_idle
 
+    def open_clock(self):
+        """The clock that continues that of earlier processes; OSError where their folder can't be read."""
+        return open_clock(Disk(self.told["state"]), syncs=self.told["sync"] != "off")
+
     def recover(self):
-        """Replays the journal."""
+        """Replays the journal; OSError where it can't be read."""
         continues = self.relay_clock.continues
-        self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
+        if self.phase is not Phase.RECOVERING:
+            self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
         self.tracker.recover(same_clock=continues)
 
     def start_serving(self):
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -498,7 +498,9 @@
         """Restores the messages of earlier processes from the journal: queues pending notices, and passes
         each open message to the dispatcher. Where the clock does not continue that of the earlier processes
         (`same_clock` is false) the age of an attempt is unknown: its idempotency window counts as closed, and
-        learned state is used only if its time stamp is recent on the new clock too."""
+        learned state is used only if its time stamp is recent on the new clock too. After an OSError nothing
+        has changed, and it may be called again."""
+        learned, learned_at = self.learned.read() if self.learned is not None else ([], 0)
         replay = Replay(self.limits["max_recent_ends"])
         for kind, fields, body in self.journal.read():
             if kind == DAMAGE:
@@ -519,10 +521,9 @@
         self.reserve(sum(NOTICE_RECORD_BYTES + len(name) for name in self.pending_notices))
         for name, (state, after) in self.pending_notices.items():
             self.notices.add(name, state, after)
-        if self.learned is not None:
-            learned, at = self.learned.read()
-            if learned and (same_clock or 0 <= self.clock() - at <= self.limits["learned_state_valid_for"]):
-                self.notify_dispatcher("restore_learned_state", learned, at)
+        is_recent = 0 <= self.clock() - learned_at <= self.limits["learned_state_valid_for"]
+        if learned and (same_clock or is_recent):
+            self.notify_dispatcher("restore_learned_state", learned, learned_at)
         # In order of acceptance: the journal holds compacted copies behind messages accepted later.
         for msg in sorted(self.held.values(), key=lambda msg: msg.accepted_at):
             self.notify_dispatcher(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -198,6 +198,7 @@
         self.folder, self.relay, self.known = folder, None, known
         self.relay_address, self.ops_address = free_address(), free_address()
         self.platform_listener = None  # the clients' listening socket, where the platform holds it
+        self.descriptor_limit = None  # of the next process, where it is not the configured one
         self.processes = []  # all that were started, so that none is left behind
         (folder / "state").mkdir()
         (folder / "tmp").mkdir()
@@ -273,7 +274,9 @@
         if self.platform_listener:
             os.dup2(self.platform_listener.fileno(), SOCKET_FD)
             os.set_inheritable(SOCKET_FD, True)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (self.limits["sockets"], self.limits["sockets"]))
+        soft = self.descriptor_limit or self.limits["sockets"]
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
     def ask(self, method, path, headers=None, body=b"", within=2):
         """(status, headers) of the answer; (0, {}) if none came."""
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -6,6 +6,14 @@
 import pytest
 from helpers import RelayUnderTest, call, wait_until
 
+WAITING_EVENTS = (
+    "start failed",
+    "folder not usable",
+    "address not free",
+    "inherited socket not usable",
+    "phase",
+)
+
 
 @pytest.fixture
 def town(tmp_path):
@@ -78,6 +86,29 @@
     assert wait_until(town.is_process_ready)
 
 
+# Guards against a start that ends with a traceback as a file of its folder can't be read for a while.
+@pytest.mark.parametrize("name", ["seg-9999999999", "clock", "learned"])
+def test_a_start_waits_until_its_folder_can_be_read(town, name):
+    town.plan = lambda call: (429, {"Wait-Ms": "3000"}) if not town.calls[1:] else (200, {})
+    town.start()
+    assert town.submit("a") == 202 and wait_until(lambda: town.calls)
+    town.end()
+    path = town.folder / "state" / name
+    if path.exists():
+        path.rename(town.folder / name)
+    path.mkdir()  # reading it fails
+    town.start(wait=False)
+    assert wait_until(lambda: logged(town, "folder not usable"))
+    time.sleep(0.5)
+    assert town.relay.poll() is None and not town.is_process_ready()
+    assert len(logged(town, "folder not usable")) == 1
+    path.rmdir()
+    if (town.folder / name).exists():
+        (town.folder / name).rename(path)
+    assert wait_until(town.is_process_ready)
+    assert wait_until(lambda: [call["id"] for call in town.calls] == ["a", "a"])
+
+
 def logged(town, event):
     """The events of that name in the relay's log."""
     return [line for line in town.events() if line["event"] == event]
