A start waits while the system has no descriptor or memory left for it

Seen by callers: a process started while descriptors were short (EMFILE, ENFILE, ENOMEM) ended with a traceback and status 1; with 9 descriptors it took the inherited socket for unusable, tried to bind the address, which the platform holds, and never got ready.

Cause: errors of trio's own start were not caught, and open_client_socket took each OSError for a wrong descriptor.

Change: a start that ends with an OSError before anything was accepted is logged in one line and tried again (run_once). Only a descriptor that is closed or no stream socket is unusable; other errors are tried again.

Measured: real processes with 7, 9, 11 and 13 descriptors for 1.5 s, then 128.

--- a/courseroute/run/listeners.py
+++ b/courseroute/run/listeners.py
@@ -4,9 +4,9 @@
 that wait on it belong to whichever process accepts them.
 """
 
-import errno
 import os
 import socket
+import stat
 
 import trio
 
@@ -16,14 +16,20 @@
 INHERITED_NOT_USABLE = "inherited socket not usable"
 
 
+class NoStreamSocket(Exception):
+    """A descriptor is not open, or is something else."""
+
+
 async def open_client_socket(descriptor, address, log_event):
     """The socket on which clients connect: the inherited one with the number `descriptor`, unless that is
     None or unusable, else a new one bound to `address` once that is free. `start_listening` comes later."""
     if descriptor is not None:
         try:
-            return inherited_socket(descriptor)
-        except OSError as error:
-            log_event(INHERITED_NOT_USABLE, descriptor=descriptor, error=str(error)[:200])
+            return await retry_os_errors(
+                lambda: inherited_socket(descriptor), INHERITED_NOT_USABLE, log_event
+            )
+        except NoStreamSocket as error:
+            log_event(INHERITED_NOT_USABLE, descriptor=descriptor, error=str(error))
     return await open_socket(address, log_event)
 
 
@@ -39,16 +45,17 @@
 
 
 def inherited_socket(descriptor):
-    """The socket with that number. Raises OSError where it is no stream socket."""
-    number = os.dup(descriptor)
+    """The socket with that number. Raises NoStreamSocket where it is none, OSError where resources lack."""
     try:
-        inherited = socket.socket(fileno=number)
-    except OSError:
-        os.close(number)
-        raise
+        is_socket = stat.S_ISSOCK(os.fstat(descriptor).st_mode)
+    except OSError as error:
+        raise NoStreamSocket(str(error)) from None
+    if not is_socket:
+        raise NoStreamSocket("no socket")
+    inherited = socket.socket(fileno=os.dup(descriptor))
     if inherited.type != socket.SOCK_STREAM:
         inherited.close()
-        raise OSError(errno.ESOCKTNOSUPPORT, "no stream socket")
+        raise NoStreamSocket("no stream socket")
     return trio.socket.from_stdlib_socket(inherited)
 
 
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -36,6 +36,7 @@
 from courseroute.wire.protocol import parse_endpoint_list
 
 REPORT_EVERY_S = 10.0  # between two reports of counters in the log
+RESTART_INTERVAL_S = 0.25  # between two starts that the system did not allow
 
 
 class Relay:
@@ -283,10 +284,22 @@
 def main(told):
     """Runs a relay with these settings; returns the exit code of the process."""
     set_log(**told["log"], relay=told["name"], pid=os.getpid())
+    while (code := run_once(Relay(told))) is None:
+        time.sleep(RESTART_INTERVAL_S)
+    return code
+
+
+def run_once(relay):
+    """Runs a relay to its end; the exit code, None where the start failed and is to be tried again."""
     code = 0
     try:
-        trio.run(Relay(told).run)
+        trio.run(relay.run)
     except* Newer as group:  # logged in one line; the folder is unchanged
-        log_event("folder not usable", error=str(group.exceptions[0])[:300])
+        log_event(FOLDER_NOT_USABLE, error=str(group.exceptions[0])[:300])
         code = 2
+    except* OSError as group:
+        if not relay.phase.holds_nothing:
+            raise
+        log_event("start failed", error=str(group.exceptions[0])[:300])
+        code = None
     return code
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,5 +1,6 @@
 """Starts of a relay as the platform performs them: inherited socket, second address, a second process."""
 
+import resource
 import socket
 import time
 
@@ -109,6 +110,18 @@
     assert wait_until(lambda: [call["id"] for call in town.calls] == ["a", "a"])
 
 
+# Guards against a start that ends with a traceback while the system has no descriptor left.
+@pytest.mark.parametrize("descriptors", [7, 9, 11, 13])
+def test_a_start_waits_for_descriptors(town, descriptors):
+    town.descriptor_limit = descriptors
+    town.start(wait=False)
+    time.sleep(1.5)
+    assert town.relay.poll() is None
+    assert {line["level"] for line in town.events()} <= {"info", "warning"}  # and no traceback
+    resource.prlimit(town.relay.pid, resource.RLIMIT_NOFILE, (128, 128))
+    assert wait_until(lambda: town.submit("a") == 202)
+
+
 def logged(town, event):
     """The events of that name in the relay's log."""
     return [line for line in town.events() if line["event"] == event]
