A start tries again while its configuration file is missing or half written

Seen by callers: a process started in the moment in which its file was being replaced ended with status 2.

Cause: __main__.start read the file once. Change: an unreadable file, or one that is no JSON, is tried again for 3 s (a new process is due within 6 s); mistakes of content still end the start at once, in one line each.

--- a/courseroute/__main__.py
+++ b/courseroute/__main__.py
@@ -12,7 +12,7 @@
     from courseroute.run.relay import main
 
     try:
-        told = config.read()
+        told = config.read_patiently()
     except Bad as cause:
         print(cause, file=sys.stderr)
         return 2
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -5,6 +5,7 @@
 
 import os
 import random
+import time
 
 import msgspec
 import orjson
@@ -24,9 +25,26 @@
     "name": "ROUTER_NAME",
     "ops": "ROUTER_OPS",
 }
+UNREADABLE_FOR_S, READ_INTERVAL_S = 3.0, 0.1  # a new process has to be ready within 6 s
 INHERITED_SOCKET = "ROUTER_SOCKET_FD"  # number of the descriptor on which clients connect
 
 
+class Unreadable(Bad):
+    """The file is missing or no JSON: it may be about to be written."""
+
+
+def read_patiently(environ=os.environ):
+    """Like `read`; a file that is unreadable is tried again for a while."""
+    end = time.monotonic() + UNREADABLE_FOR_S
+    while True:
+        try:
+            return read(environ)
+        except Unreadable:
+            if time.monotonic() >= end:
+                raise
+        time.sleep(READ_INTERVAL_S)
+
+
 def read(environ=os.environ):
     """The relay's settings as a plain map (see `figures`), from the file that ROUTER_CONFIG names."""
     path = environ.get("ROUTER_CONFIG")
@@ -53,7 +71,7 @@
             told = orjson.loads(file.read())
     except (OSError, ValueError) as cause:
         found = getattr(cause, "strerror", None) or str(cause)
-        raise Bad(path, [Mistake("", found, "a JSON file")]) from None
+        raise Unreadable(path, [Mistake("", found, "a JSON file")]) from None
     if not isinstance(told, dict):
         raise Bad(path, [Mistake("", type(told).__name__, "a JSON object")])
     named = {
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -122,6 +122,20 @@
     assert wait_until(lambda: town.submit("a") == 202)
 
 
+# Guards against a start that ends as its configuration is being replaced.
+@pytest.mark.parametrize("content", [None, b"", b'{"name": "n0", '])
+def test_a_start_waits_for_a_configuration_that_is_being_written(town, content):
+    town.configure()
+    path = town.folder / "config.json"
+    whole = path.read_bytes()
+    town.configure = lambda: path.unlink(True) if content is None else path.write_bytes(content)
+    town.start(wait=False)
+    time.sleep(0.5)
+    assert town.relay.poll() is None
+    path.write_bytes(whole)
+    assert wait_until(lambda: town.submit("a") == 202)
+
+
 def logged(town, event):
     """The events of that name in the relay's log."""
     return [line for line in town.events() if line["event"] == event]
