Restored messages are not admitted a second time

Seen by callers: a restart, or an upgrade, with a full backlog gave messages back that had been taken on: of 14 restored messages of one tenant behind one refusal 6 were kept, with little room 4; and the tenant's quota was used up for what came next.

Cause: Dispatcher.accept passed restored messages through check_admission like new ones, all in one instant: six seconds' worth of the quota, and the destination's half of the room, for a backlog that had been admitted over time.

Change: attempts=None is a new message, a list one that an earlier process accepted; such a one needs no room and takes no quota. It is still closed where its destination left or its time is over. New messages are judged as before.

Measured: the test failed before with both rooms; all 14 are kept now, new ones get what the quota leaves.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -271,10 +271,11 @@
         key=None,
         customer=None,
         is_retry=False,
-        attempts=(),
+        attempts=None,
     ):
-        """Accepts a message. `attempts`: its attempts before a restart, each (host, sent at, ending); an
-        attempt without an ending may have run."""
+        """Accepts a message. `attempts`: None for a new message; for one that an earlier process accepted,
+        its attempts, each (host, sent at, ending); an attempt without an ending may have run."""
+        is_restored, attempts = attempts is not None, attempts or ()
         lane = self.lanes.get(lane) or self.lanes.setdefault(
             lane, Lane(lane, call_durations=Histogram(DURATION_EDGES, HISTOGRAM_CAP))
         )
@@ -304,7 +305,7 @@
                 )
         self.schedule(deadline - self.timer_margin, self.close_message, message, CloseCause.DEADLINE)
         self.schedule(self.latest_start(message), self.close_if_late, message)
-        if self.check_admission(now, message) and self.enter_key_queue(now, message):
+        if self.check_admission(now, message, is_restored) and self.enter_key_queue(now, message):
             self.book_slot(now, message)
         return self.take_actions()
 
@@ -548,9 +549,21 @@
                 self.rebook(now, route)
         self.schedule(now + RANKING_INTERVAL, self.renew_ranking)
 
-    def check_admission(self, now, message):
+    def check_admission(self, now, message, is_restored):
         """Rejects a message that has no destination, time or room. A destination may hold as many messages as
-        there is free room, so that its backlog does not lock out the others."""
+        there is free room, so that its backlog does not lock out the others. A restored message was admitted
+        before: it needs no room, and takes nothing of its customer's quota."""
+        has_room = is_restored or self.has_room(now, message)
+        if message.destination is self.unlisted:
+            self.close_message(now, message, CloseCause.NO_DESTINATION)
+        elif now >= self.latest_start(message):
+            self.close_message(now, message, CloseCause.TOO_LATE)
+        elif not has_room:
+            self.close_message(now, message, CloseCause.CAPACITY_EXCEEDED)
+        return not message.is_closed
+
+    def has_room(self, now, message):
+        """Takes a new message from its customer's quota, and returns whether there is room for it."""
         quota = self.terms.get("customers", {}).get(message.customer, 0) / self.relays
         # A message beyond the quota is worth little, so it may wait for its target time only.
         if quota:
@@ -563,13 +576,7 @@
             - len(self.open_messages)
             - sum(len(route.held_messages) for route in message.destination.routes)
         )
-        if message.destination is self.unlisted:
-            self.close_message(now, message, CloseCause.NO_DESTINATION)
-        elif now >= self.latest_start(message):
-            self.close_message(now, message, CloseCause.TOO_LATE)
-        elif free_room < 0:
-            self.close_message(now, message, CloseCause.CAPACITY_EXCEEDED)
-        return not message.is_closed
+        return free_room >= 0
 
     def enter_key_queue(self, now, message):
         """Puts an ordered message into its key's queue, which sends one message at a time in order of
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -20,8 +20,8 @@
     restore_learned_state(now, state, saved_at)
         Restores that state, after the endpoint list; saved_at: when it was saved.
     accept(now, name, destination_name, lane, deadline, key, customer, is_retry, attempts)
-        A new message. deadline: when its final answer has to be given. attempts: those before a restart,
-        each (host, sent at, ending or None).
+        A new message. deadline: when its final answer has to be given. attempts: None; for a message that an
+        earlier process accepted, its attempts, each (host, sent at, ending or None).
     withdraw(now, name)
         The client no longer wants the message.
     attempt_ended(now, name, number, host_name, ending, duration, wait, report, is_final, idle)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -791,3 +791,17 @@
 )
 def test_the_reserve_for_a_final_answer_goes_by_the_time_that_a_message_has(left, lane_time, reserve):
     assert final_answer_due(7 * S, 7 * S + left, lane_time) == 7 * S + left - reserve
+
+
+# Guards against a restart that gives back messages of its backlog as they are admitted a second time.
+@pytest.mark.parametrize("room, new_ones", [(100, 6), (10, 0)])
+def test_restored_messages_are_not_judged_again_and_take_no_quota(room, new_ones):
+    harness = DispatcherHarness(hosts=(("a", 2.0),), room=room, customers={"c": 1.0})
+    harness.report_outcome(harness.accept()[0], "full")
+
+    def is_held(name, *attempts):
+        deadline = harness.now + 16 * S
+        return not harness.apply("accept", name, "d", "retriable", deadline, None, "c", False, *attempts)
+
+    assert all(is_held(f"restored{n}", []) for n in range(14))
+    assert [is_held(f"new{n}") for n in range(8)] == [n < new_ones for n in range(8)]
