Test: a host that drains while a new process waits gets nothing after the takeover

Need: news of discovery binds from 2 s after the new process's yes, whichever process heard it. The successor watches the endpoint list in the phase waiting; the test stops and kills the old process and silences discovery.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -177,6 +177,20 @@
     assert wait_until(lambda: {call["id"] for call in town.calls[1:]} == {"a", "b"})
 
 
+# Guards against news of discovery that only the old process was to hear: the new one watches while it waits.
+def test_a_host_that_drains_while_the_new_process_waits_gets_nothing_after_the_takeover(town):
+    town.start()
+    old = town.start_beside()
+    old.send_signal(signal.SIGSTOP)
+    town.change("h1", "leaving")
+    assert wait_until(lambda: any(event["event"] == "endpoints told" for event in town.events()), 2)
+    town.discovery_plan = lambda n: "silent"
+    old.kill()
+    assert wait_until(lambda: all(town.submit(f"m{n}") == 202 for n in range(8)))
+    assert wait_until(lambda: len(town.calls) >= 8)
+    assert {call["host"] for call in town.calls} == {"h2"}
+
+
 # Guards against a call that is out at the handover and runs twice, or has no final answer.
 @pytest.mark.parametrize("lane", ["once", "order"])
 @pytest.mark.parametrize("ends", ["returns", "hangs", "old process is killed"])
