Rejected messages leave no timers and no destinations behind

Cause: Dispatcher.accept scheduled two timers before it judged the message; they kept a rejected message until its deadline. Without a list each destination that was asked for got a record, kept for good.

Change: timers are set for messages that are still open behind the booking; a destination without hosts goes with its last message where one is rejected.

Both cases of the test failed before.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -303,12 +303,23 @@
                 self.key_queues.setdefault(message.key, KeyQueue()).not_before = now + self.terms.get(
                     "turn_gap", 0
                 )
-        self.schedule(deadline - self.timer_margin, self.close_message, message, CloseCause.DEADLINE)
-        self.schedule(self.latest_start(message), self.close_if_late, message)
         if self.check_admission(now, message, is_restored) and self.enter_key_queue(now, message):
             self.book_slot(now, message)
+        if not message.is_closed:  # timers of rejected messages would keep them until their deadline
+            self.schedule(deadline - self.timer_margin, self.close_message, message, CloseCause.DEADLINE)
+            self.schedule(self.latest_start(message), self.close_if_late, message)
+        else:
+            self.forget_unused(destination)
         return self.take_actions()
 
+    def forget_unused(self, destination):
+        """Drops a destination that has no host and no message, as any name may be asked for while no list is
+        known."""
+        if destination.routes or destination is self.unlisted:
+            return
+        if not any(message.destination is destination for message in self.open_messages.values()):
+            self.destinations.pop(destination.name, None)
+
     def final_statuses_accepted(self, now, names):
         """The final statuses of these messages are known outside: their notices were accepted, or they were
         the answers to their clients."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -805,3 +805,16 @@
 
     assert all(is_held(f"restored{n}", []) for n in range(14))
     assert [is_held(f"new{n}") for n in range(8)] == [n < new_ones for n in range(8)]
+
+
+# Guards against memory that grows while a client sends messages that are rejected, under ever new names.
+@pytest.mark.parametrize("hosts, room", [((("a", 4.0),), 40), ((), 8)])
+def test_rejected_messages_leave_nothing_behind(hosts, room):
+    harness = DispatcherHarness(hosts=hosts, room=room)
+    for _ in range(room):
+        harness.accept(dst="0")
+    before = len(harness.dispatcher.events), len(harness.dispatcher.destinations)
+    for number in range(500):
+        assert actions_named(harness.accept(key=f"k{number}", dst=f"{number + 1}")[1], "push back")
+    assert (len(harness.dispatcher.events), len(harness.dispatcher.destinations)) == before
+    assert not harness.dispatcher.key_queues
