Few descriptors are divided so that a successor and all else still find some

Change: decisions.descriptors sets 46 aside where the shares would leave fewer; from 329 on nothing changes.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -82,12 +82,8 @@
 ENDPOINT_LIST_KEY = ""
 # The rate before an outage is counted over two such spans, of which the second is still running.
 USUAL_RATE_SPAN = 4 * S
-# Resource limits of a relay: shares of its descriptors, memory and disk, then sizes in bytes or
-# items, then times.
+# Resource limits of a relay: shares of its memory and disk, then sizes in bytes or items, then times.
 RELAY_LIMITS = {
-    "client_connections": 0.5,
-    "refusing": 0.06,
-    "host_connections": 0.3,
     "partial_requests_share": 0.1,
     "held_share": 0.25,
     "endpoint_cache_share": 0.05,
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -8,6 +8,7 @@
 
 from courseroute.checked import Bad
 from courseroute.decide import RELAY_LIMITS, Dispatcher
+from courseroute.decisions.descriptors import divide_descriptors
 from courseroute.journal.disk import Disk
 from courseroute.journal.frames import Newer
 from courseroute.journal.learned import Learned
@@ -105,8 +106,8 @@
         room = told["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
         self.journal = Journal(Disk(told["state"]), room, told["name"], syncs)
         self.endpoint_cache = EndpointCache(told["state"], kept_list) if kept_list else None
-        most_calls = int(told["sockets"] * limits["host_connections"])
-        terms["slots"] = min(terms.get("slots", most_calls), most_calls)  # each call needs a connection
+        budget = divide_descriptors(told["sockets"])
+        terms["slots"] = min(terms.get("slots", budget.hosts), budget.hosts)  # each call needs a connection
         self.tracker = tracker = MessageTracker(
             Dispatcher(told["seed"], terms), terms, limits, self.journal, told["memory"], clock, log_event
         )
@@ -116,7 +117,7 @@
         trio.lowlevel.add_instrument(standstills)
         tracker.longest_unread_ns = standstills.unread_for
         keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
-        self.pool = ConnectionPool(most_calls, keep_for, time.monotonic_ns, tracker.max_idle_time)
+        self.pool = ConnectionPool(budget.hosts, keep_for, time.monotonic_ns, tracker.max_idle_time)
         tracker.hosts = Hosts(self.nursery, tracker, self.pool, limits, terms, clock, log_event)
         tracker.notices = Notices(tracker, limits, told["discovery"], log_event)
         self.watch = Watch(terms["listed_rates"], None)
@@ -125,9 +126,10 @@
         )
         self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
         tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
-        most, refusing = (int(told["sockets"] * limits[name]) for name in ("client_connections", "refusing"))
         half_read = int(told["memory"] * limits["partial_requests_share"])
-        self.clients = Clients(tracker, limits, listener, most, refusing, half_read, log_event)
+        self.clients = Clients(
+            tracker, limits, listener, budget.clients, budget.refused, half_read, log_event
+        )
         tracker.close_idle_clients = self.clients.close_idle
 
     def open_clock(self):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -5,6 +5,7 @@
 from helpers import MS, DispatcherHarness, S, actions_named
 
 from courseroute.decide import EVIDENCE_THRESHOLD, EXIT_AFTER, HEADROOM_CUT
+from courseroute.decisions.descriptors import RESERVED, divide_descriptors
 from courseroute.decisions.final_answer import final_answer_due
 from courseroute.model.causes import HoldCause
 from courseroute.model.types import Attempt
@@ -818,3 +819,11 @@
         assert actions_named(harness.accept(key=f"k{number}", dst=f"{number + 1}")[1], "push back")
     assert (len(harness.dispatcher.events), len(harness.dispatcher.destinations)) == before
     assert not harness.dispatcher.key_queues
+
+
+# Guards against two processes of an upgrade that hold more descriptors than their limit, or find none left.
+@pytest.mark.parametrize("total, unchanged", [(128, False), (256, False), (512, True), (1024, True)])
+def test_connections_leave_descriptors_for_all_else_and_for_a_successor(total, unchanged):
+    budget = divide_descriptors(total)
+    assert sum(budget) + RESERVED <= total and budget.clients >= total / 3  # clients' share by the page
+    assert unchanged == (budget == (total // 2, int(total * 0.06), int(total * 0.3)))
