Calls go to a host's present address, not on connections to its earlier one

Once another host has that address, the work goes to the wrong place.

Cause: connections were kept and checked by the host's id alone; only a whole list dropped addresses, and idle connections of hosts that left stayed open until they timed out.

Change: a connection knows the address it leads to. A list that changes or ends a host's address closes its idle connections; one in use is not kept, one that is coming up gets no call (held, sent at the present address).

--- a/courseroute/emulator/scripted_peers.py
+++ b/courseroute/emulator/scripted_peers.py
@@ -161,6 +161,11 @@
         host = next(host for host in self.destination.hosts if host.name == name)
         self.run_on_loop(self.directory.change, self.entry(host, status))
 
+    def move_host(self, name, to):
+        """Lists a host at the address of another one."""
+        self.where[name] = self.where[to]
+        self.change(name, "active")
+
     def move_platform(self, how):
         """Opens another address for the platform; the old one goes on ("serves") or is closed ("gone")."""
         old, self.moves = self.moves, self.moves + 1
--- a/courseroute/model/causes.py
+++ b/courseroute/model/causes.py
@@ -24,6 +24,7 @@
     """Why an attempt whose connection is up may not be sent."""
 
     CLOSED = "message closed"
+    ADDRESS_CHANGED = "endpoint has another address"
     HANDING_OVER = "successor takes over"
     NOT_LISTED = "endpoint draining or gone"
     LIST_TOO_OLD = "endpoint list may be out of date"
@@ -40,6 +41,7 @@
     IDLE_TIMEOUT = "idle for long"
     EVICTED = "room needed"
     CONNECTIONS_UNRELIABLE = "calls to this kind of host get lost"
+    ADDRESS_CHANGED = "endpoint gone or at another address"
     HANDED_OVER = "folder handed over"
     ATTEMPT_HELD = "attempt not sent"
     INCOMPLETE_ANSWER = "no whole answer"
--- a/courseroute/wire/connection.py
+++ b/courseroute/wire/connection.py
@@ -43,7 +43,7 @@
         self.call = HttpClientState(head_limit, body_limit, keep_body)
         self.max_read = head_limit
         self.socket = trio.socket.socket()
-        self.stream = None
+        self.stream = self.address = None
         self.last_exchange = None  # the last answered call, for the log
 
     async def connect(self, address):
@@ -57,7 +57,7 @@
         except BaseException:
             self.close()
             raise
-        self.stream = trio.SocketStream(self.socket)
+        self.stream, self.address = trio.SocketStream(self.socket), address
         return self
 
     async def send(self, method, target, headers, body=b""):
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -112,12 +112,8 @@
     def apply_endpoints(self, scope, entries, addresses, as_of=None):
         """Applies a list. `scope`: full, changes or saved; `addresses`: host -> address; `as_of`: when the
         list was current, None for now."""
-        if scope == "full":  # no connection to hosts that left: their address may belong to another host
-            self.hosts.addresses.clear()
-        self.hosts.addresses.update(addresses)
-        for name, state, *_ in entries:
-            if state == "gone":
-                self.hosts.addresses.pop(name, None)
+        gone = [name for name, state, *_ in entries if state == "gone"]
+        self.hosts.update_addresses(addresses, gone, is_whole=scope == "full")
         self.tracker.notify_dispatcher("update_endpoints", scope, entries, as_of)
         if self.on_endpoints:
             self.on_endpoints(scope, entries, addresses)
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -52,6 +52,23 @@
         """Closes the idle connections to a host."""
         self.pool.close_idle(host)
 
+    def update_addresses(self, addresses, gone, is_whole):
+        """Applies the addresses of an endpoint list. Idle connections to a host that left or has another
+        address now are closed: its old address may belong to another process."""
+        before = dict(self.addresses)
+        if is_whole:
+            self.addresses.clear()
+        self.addresses.update(addresses)
+        for host in gone:
+            self.addresses.pop(host, None)
+        for host, address in before.items():
+            if self.addresses.get(host) != address:
+                self.pool.close_idle(host, ConnectionCloseCause.ADDRESS_CHANGED)
+
+    def is_current(self, host, connection):
+        """Whether a connection leads to the host's present address."""
+        return connection.address == self.addresses.get(host)
+
     async def run_attempt(self, msg, n, host, until, scope):
         """Makes an attempt and reports how it ended. The rest of its answer is read behind the report."""
         attempt = Attempt(self, msg, n, host, until)
@@ -231,6 +248,8 @@
         # Asked after all waits, and nothing is awaited between this and the write: the answer must be
         # current.
         self.hold_cause = hosts.tracker.hold_cause(self.msg.name, self.n)
+        if self.hold_cause is None and not hosts.is_current(self.host, self.connection):
+            self.hold_cause = HoldCause.ADDRESS_CHANGED
         if self.hold_cause:
             return
         await self.send()
@@ -315,7 +334,8 @@
         with trio.move_on_after(self.hosts.limits["answer_drain_timeout"] / 1e9):
             await self.connection.receive_all()
         self.hosts.compare_with_last_delivery(self.host, call)
-        if call.reusable() and not self.duplicates:
+        is_current = self.hosts.is_current(self.host, self.connection)
+        if call.reusable() and is_current and not self.duplicates:
             quiet_period = QUIET_PERIOD_NS if call.status == DELIVERED else QUIET_PERIOD_AFTER_REFUSAL_NS
             self.hosts.pool.add_idle(self.host, self.connection, quiet_period)
             self.connection = None
@@ -333,6 +353,8 @@
             return ConnectionCloseCause.ATTEMPT_HELD
         if not call.done:
             return ConnectionCloseCause.INCOMPLETE_ANSWER
+        if not self.hosts.is_current(self.host, self.connection):
+            return ConnectionCloseCause.ADDRESS_CHANGED
         return (
             ConnectionCloseCause.UNEXPECTED_BYTES
             if call.unexpected_bytes()
