--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -529,6 +529,25 @@
         lock(path)
 
 
+# Guards against a process that goes on with a journal which its successor has written to before it died.
+def test_a_closed_journal_is_reopened_only_if_nobody_has_changed_it():
+    disk = FaultyDisk()
+    journal = Journal(disk, 100 * KB, "n0")
+    list(journal.read())
+    journal.write(*RECORDS[:3])
+    journal.close()
+    with pytest.raises(Full):
+        journal.write(RECORDS[3])
+    journal.reopen()
+    journal.write(RECORDS[3])
+    journal.close()
+    successor = Journal(disk, 100 * KB, "n0")
+    assert len(list(successor.read())) == 4
+    successor.write(RECORDS[4])
+    with pytest.raises(OSError):
+        journal.reopen()
+
+
 def test_reading_several_segments_reports_damage_separately():
     disk = FaultyDisk()
     journal = Journal(disk, 100 * KB, "n0")
