A refused connection gives its memory back before its client reads the answer

Cause: a connection whose partial request is refused (no room, too large) kept its buffers for the 0.2 s in which its client may read the answer; each read took 64 KB beside the 64 KB parsed from it; a chunked request kept its last read.

Change: buffers are released, and their bytes given back, with the refusal; reads are of 16 KB; the last read of a chunked request is dropped at once.

The test of a refused connection failed before.

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -7,7 +7,7 @@
 import trio
 
 from courseroute.wire.http import ProtocolError, ServerConnection
-from courseroute.wire.server_sockets import accept_connections, finish_sending
+from courseroute.wire.server_sockets import MAX_READ_BYTES, accept_connections, finish_sending
 from courseroute.wire.socket_probe import ns_since_last_byte
 
 CLOSE_POLL_S = 0.005
@@ -168,7 +168,10 @@
                 if http.is_closed:
                     return
         except ProtocolError as cause:
-            await self.write(stream, http.answer(cause.status, body=f"{cause}\n".encode(), close=True))
+            answer = http.answer(cause.status, body=f"{cause}\n".encode(), close=True)
+            http.release()
+            self.count_partial(connection, 0)
+            await self.write(stream, answer)
             await finish_sending(stream, self.limits["closing_grace"] / 1e9)
         except EOFError:
             pass
@@ -199,10 +202,10 @@
         if not (connection.has_sent_request and http.begun):
             waiting[connection] = True
         with trio.move_on_at(due) as connection.read_scope:
-            data = await connection.stream.receive_some(self.limits["max_body_bytes"])
+            data = await connection.stream.receive_some(MAX_READ_BYTES)
         waiting.pop(connection, None)
         if data is None and connection.is_closing and has_unread(connection.sock):
-            data = await connection.stream.receive_some(self.limits["max_body_bytes"])
+            data = await connection.stream.receive_some(MAX_READ_BYTES)
         if data is None:
             if http.begun and not connection.is_closing:
                 raise ProtocolError(408, "the request did not come in time")
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -126,6 +126,8 @@
         self.request = Request(event.method.decode("latin-1"), event.target.decode("latin-1"), headers)
         self.is_chunked = "transfer-encoding" in headers
         self.body, self.chunk_count, self.in_one_read = bytearray(), 0, not self.is_chunked
+        if self.is_chunked:
+            self.last_read = b""
 
     def finish_request(self):
         request, self.request = self.request, None
--- a/courseroute/wire/server_sockets.py
+++ b/courseroute/wire/server_sockets.py
@@ -6,7 +6,7 @@
 
 RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
 ACCEPT_RETRY_S = 0.05
-MAX_READ_BYTES = 65536
+MAX_READ_BYTES = 16_384
 
 
 async def accept_connections(listener, log_event):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -411,3 +411,22 @@
 
     trio.run(play)
     assert logged == ["no descriptors for a client"]
+
+
+# Guards against memory held by refused connections, whose clients are given time to read the answer.
+def test_a_refused_connection_holds_no_memory_while_its_client_reads_the_answer():
+    async def play():
+        ours, theirs = trio.socket.socketpair()
+        clients = Clients(None, RELAY_LIMITS, None, 9, 1, 99_999, lambda event, **told: None)
+        connections = []
+        admit = clients.admit
+        clients.admit = lambda connection: connections.append(connection) or admit(connection)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(clients.handle_connection, ours)
+            await theirs.send(b"POST /x HTTP/1.1\r\nHost: r\r\nContent-Length: 99999\r\n\r\n" + b"x" * 5000)
+            assert b" 413 " in await theirs.recv(99)
+            assert clients.open_connections and clients.partial_bytes_left == 99_999
+            assert connections[0].http.h11 is None
+            theirs.close()
+
+    trio.run(play)
