Shares of memory are of what is left above the process's own

Cause: a tenth of the limit for partial requests and a quarter for held messages were taken of the whole limit, though 29.9 MB are resident before the first request.

Change: shares are of the limit less 30 MB (base_memory), of a quarter of the limit where less is left; one request of the largest size always fits. At 192 MB: 16.2 MB for partial requests (19.2 before), 40.5 for held messages (48).

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -108,8 +108,9 @@
         self.endpoint_cache = EndpointCache(told["state"], kept_list) if kept_list else None
         budget = divide_descriptors(told["sockets"])
         terms["slots"] = min(terms.get("slots", budget.hosts), budget.hosts)  # each call needs a connection
+        memory = max(told["memory"] - limits["base_memory"], told["memory"] * limits["min_shared_memory"])
         self.tracker = tracker = MessageTracker(
-            Dispatcher(told["seed"], terms), terms, limits, self.journal, told["memory"], clock, log_event
+            Dispatcher(told["seed"], terms), terms, limits, self.journal, memory, clock, log_event
         )
         tracker.learned = Learned(told["state"], log_event, learned, syncs)
         tracker.syncer = Syncer(self.journal, told["sync"], told["sync_every"], log_event)
@@ -126,7 +127,8 @@
         )
         self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
         tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
-        half_read = int(told["memory"] * limits["partial_requests_share"])
+        largest_request = limits["max_head_bytes"] + limits["max_body_bytes"]
+        half_read = max(largest_request, int(memory * limits["partial_requests_share"]))
         self.clients = Clients(
             tracker, limits, listener, budget.clients, budget.refused, half_read, log_event
         )
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,8 +1,10 @@
 """Starts of a relay as the platform performs them: inherited socket, second address, a second process."""
 
+import contextlib
 import resource
 import socket
 import time
+from pathlib import Path
 
 import pytest
 from helpers import RelayUnderTest, call, wait_until
@@ -99,6 +101,32 @@
     assert all(answers) and town.submit("a") == 202
 
 
+# Guards against a process killed for its memory, as hundreds of clients stop near the end of large requests.
+def test_hundreds_of_unfinished_large_requests_leave_a_relay_within_its_memory(tmp_path):
+    town = RelayUnderTest(tmp_path, {"memory_mb": 40, "sockets": 256})
+    town.plan = lambda call: "hang"
+    head = b"POST /notice HTTP/1.1\r\nHost: r\r\nX-Deadline: 8000m\r\nEnvelope: dest=7\r\n"
+    try:
+        town.start()
+        with contextlib.ExitStack() as crowd:
+            for number in range(1200):
+                client = crowd.enter_context(socket.create_connection(town.relay_address))
+                client.setblocking(False)
+                whole = b"X-Request-Id: %d\r\nContent-Length: 65536\r\n\r\n" % number + b"x" * 65_000
+                with contextlib.suppress(OSError):
+                    client.send(head + whole)
+            assert town.is_process_ready()
+        assert peak_memory_kb(town.relay) < 40 * 1024
+    finally:
+        town.close()
+
+
+def peak_memory_kb(process):
+    """The highest resident memory that a process has had, in kB."""
+    lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM"))
+
+
 # Guards against a second address that is not free keeping clients from a relay.
 def test_a_second_address_in_use_does_not_delay_the_start(town):
     with socket.create_server(town.ops_address):
