--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run town soak bench-town bench-journal torture-journal
+.PHONY: build demo test lint run town soak bench-town bench-clients bench-journal torture-journal
 PYTHON = .venv-test/bin/python
 LAB = .venv-lab/bin/python
 
@@ -49,5 +49,9 @@
 bench-journal: .venv-lab/.installed
 	$(LAB) benchmarks/journal.py
 
+bench-clients: .venv-lab/.installed
+	PYTHONPATH=. $(LAB) benchmarks/hostile_clients.py memory
+	PYTHONPATH=. $(LAB) benchmarks/hostile_clients.py flood
+
 bench-town: .venv-lab/.installed
 	$(LAB) -m courseroute town run benchmarks/carry.toml --relay "$(LAB) -m courseroute.emulator.null_relay"
