--- a/courseroute/__main__.py
+++ b/courseroute/__main__.py
@@ -12,11 +12,11 @@
     from courseroute.run.relay import main
 
     try:
-        told = config.read_patiently()
+        settings = config.read_patiently()
     except Bad as cause:
         print(cause, file=sys.stderr)
         return 2
-    return main(told)
+    return main(settings)
 
 
 if __name__ == "__main__":
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -13,7 +13,7 @@
 from courseroute.checked import Bad, Mistake, made, span
 from courseroute.checked import read as read_toml
 from courseroute.model.terms import flatten_settings, parse_settings
-from courseroute.run.setup import MAX_DESCRIPTORS, Setup, told_of
+from courseroute.run.setup import MAX_DESCRIPTORS, Setup, layout_of
 from courseroute.wire.protocol import parse_address
 
 NOTIFIED_WITHIN = 6 * 10**9  # ns until changes known to discovery count as received, despite failures
@@ -51,8 +51,8 @@
     if not path:
         raise Bad("ROUTER_CONFIG", [Mistake("", "no such variable", "the path of a configuration file")])
     is_toml = path.endswith(".toml")
-    told = figures(made(read_toml(path), Setup, path)) if is_toml else read_platform(path, environ)
-    return told | {"descriptor": parse_descriptor(environ.get(INHERITED_SOCKET, ""))}
+    settings = figures(made(read_toml(path), Setup, path)) if is_toml else read_platform(path, environ)
+    return settings | {"descriptor": parse_descriptor(environ.get(INHERITED_SOCKET, ""))}
 
 
 def parse_descriptor(text):
@@ -68,23 +68,23 @@
     """The settings from the platform's JSON file; names and addresses missing there come from `environ`."""
     try:
         with open(path, "rb") as file:
-            told = orjson.loads(file.read())
+            document = orjson.loads(file.read())
     except (OSError, ValueError) as cause:
         found = getattr(cause, "strerror", None) or str(cause)
         raise Unreadable(path, [Mistake("", found, "a JSON file")]) from None
-    if not isinstance(told, dict):
-        raise Bad(path, [Mistake("", type(told).__name__, "a JSON object")])
+    if not isinstance(document, dict):
+        raise Bad(path, [Mistake("", type(document).__name__, "a JSON object")])
     named = {
-        name: told.get("discovery" if name == "directory" else name) or environ.get(variable)
+        name: document.get("discovery" if name == "directory" else name) or environ.get(variable)
         for name, variable in PLATFORM.items()
     }
     named["state"] = environ.get("ROUTER_STATE")
-    limits = told.get("limits") or {}
+    limits = document.get("limits") or {}
     shape = {name: value for name, value in named.items() if value is not None}
     try:
-        shape |= told_of(parse_settings(flatten_settings(told.get("settings", {}))))
+        shape |= layout_of(parse_settings(flatten_settings(document.get("settings", {}))))
         shape |= {
-            "seed": str(told.get("seed", "0")),
+            "seed": str(document.get("seed", "0")),
             "limits": {
                 "memory_mb": int(limits["memory_mb"]),
                 "descriptors": int(limits["sockets"]),
@@ -94,10 +94,10 @@
     except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as cause:
         mistake = Mistake("settings or limits", repr(cause), "the settings and limits of the protocol page")
         raise Bad(path, [mistake]) from None
-    told_figures = figures(made(shape, Setup, path, strict=False))
-    for kind in told_figures["terms"]["kinds"].values():
+    settings = figures(made(shape, Setup, path, strict=False))
+    for kind in settings["terms"]["kinds"].values():
         kind["per_call"] = 1  # whatever the settings say: the socket protocol carries one message per call
-    return told_figures | {"known": told.get("known"), "keeps_list": False}
+    return settings | {"known": document.get("known"), "keeps_list": False}
 
 
 def figures(setup):
--- a/courseroute/run/handover.py
+++ b/courseroute/run/handover.py
@@ -52,7 +52,7 @@
     """The old process's side. `relay` is the Relay of this process, which serves."""
 
     def __init__(self, relay):
-        self.relay, self.folder = relay, relay.told["state"]
+        self.relay, self.folder = relay, relay.settings["state"]
 
     async def run(self):
         """Hands the folder over, or shuts down as without a successor if that dies or hangs."""
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -41,10 +41,10 @@
 
 
 class Relay:
-    """One relay in this process; `told`: its settings as `config.read` returns them."""
+    """One relay in this process; `settings`: its settings as `config.read` returns them."""
 
-    def __init__(self, told):
-        self.told, self.phase = told, Phase.STARTING
+    def __init__(self, settings):
+        self.settings, self.phase = settings, Phase.STARTING
         self.left = trio.Event()
         self.nursery = self.tracker = None
         self.reload_due = False  # SIGHUP came before there was anything to reload
@@ -58,16 +58,18 @@
         """Runs the relay from startup to the end of shutdown."""
         async with trio.open_nursery() as self.nursery:
             await self.nursery.start(self.handle_signals)
-            if self.told["ops"]:
+            if self.settings["ops"]:
                 self.nursery.start_soon(self.serve_operators)
-            listener = await open_client_socket(self.told["descriptor"], self.told["listen"], log_event)
+            listener = await open_client_socket(
+                self.settings["descriptor"], self.settings["listen"], log_event
+            )
             self.relay_clock = await retry_os_errors(self.open_clock, FOLDER_NOT_USABLE, log_event)
             self.build(listener)
             await self.nursery.start(self.open_working_nursery)
             self.tracker.notify_dispatcher("start")
             self.load_initial_endpoints()
             self.lock = await acquire_folder(
-                self.told["state"], self.journal.check_readable, lambda: self.enter(Phase.WAITING)
+                self.settings["state"], self.journal.check_readable, lambda: self.enter(Phase.WAITING)
             )
             await retry_os_errors(self.recover, FOLDER_NOT_USABLE, log_event)
             await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
@@ -88,7 +90,7 @@
 
     async def serve_operators(self):
         """Serves the second address once it is free; a start does not wait for it."""
-        listener = await open_socket(self.told["ops"], log_event)
+        listener = await open_socket(self.settings["ops"], log_event)
         await start_listening(listener, RELAY_LIMITS["backlog"], log_event)
         await Operators(RELAY_LIMITS, self.answer_operator, log_event).serve(listener)
 
@@ -98,32 +100,34 @@
 
     def build(self, listener):
         """Creates the parts of the relay and connects them; nothing is sent or written yet."""
-        told, limits, terms = self.told, RELAY_LIMITS, dict(self.told["terms"])
-        kept_list = int(told["disk"] * limits["endpoint_cache_share"]) if told["keeps_list"] else 0
-        syncs = told["sync"] != "off"
+        settings, limits, terms = self.settings, RELAY_LIMITS, dict(self.settings["terms"])
+        kept_list = int(settings["disk"] * limits["endpoint_cache_share"]) if settings["keeps_list"] else 0
+        syncs = settings["sync"] != "off"
         clock = self.relay_clock.now
-        learned = int(told["disk"] * limits["learned_state_share"])
-        room = told["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
-        self.journal = Journal(Disk(told["state"]), room, told["name"], syncs)
-        self.endpoint_cache = EndpointCache(told["state"], kept_list) if kept_list else None
-        budget = divide_descriptors(told["sockets"])
+        learned = int(settings["disk"] * limits["learned_state_share"])
+        room = settings["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
+        self.journal = Journal(Disk(settings["state"]), room, settings["name"], syncs)
+        self.endpoint_cache = EndpointCache(settings["state"], kept_list) if kept_list else None
+        budget = divide_descriptors(settings["sockets"])
         terms["slots"] = min(terms.get("slots", budget.hosts), budget.hosts)  # each call needs a connection
-        memory = max(told["memory"] - limits["base_memory"], told["memory"] * limits["min_shared_memory"])
+        memory = max(
+            settings["memory"] - limits["base_memory"], settings["memory"] * limits["min_shared_memory"]
+        )
         self.tracker = tracker = MessageTracker(
-            Dispatcher(told["seed"], terms), terms, limits, self.journal, memory, clock, log_event
+            Dispatcher(settings["seed"], terms), terms, limits, self.journal, memory, clock, log_event
         )
-        tracker.learned = Learned(told["state"], log_event, learned, syncs)
-        tracker.syncer = Syncer(self.journal, told["sync"], told["sync_every"], log_event)
+        tracker.learned = Learned(settings["state"], log_event, learned, syncs)
+        tracker.syncer = Syncer(self.journal, settings["sync"], settings["sync_every"], log_event)
         standstills = Standstills(time.monotonic_ns)
         trio.lowlevel.add_instrument(standstills)
         tracker.longest_unread_ns = standstills.unread_for
         keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
         self.pool = ConnectionPool(budget.hosts, keep_for, time.monotonic_ns, tracker.max_idle_time)
         tracker.hosts = Hosts(self.nursery, tracker, self.pool, limits, terms, clock, log_event)
-        tracker.notices = Notices(tracker, limits, told["discovery"], log_event)
+        tracker.notices = Notices(tracker, limits, settings["discovery"], log_event)
         self.watch = Watch(terms["listed_rates"], None)
         tracker.discovery = Discovery(
-            self.nursery, tracker, tracker.hosts, limits, told["discovery"], self.watch, clock, log_event
+            self.nursery, tracker, tracker.hosts, limits, settings["discovery"], self.watch, clock, log_event
         )
         self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
         tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
@@ -136,7 +140,7 @@
 
     def open_clock(self):
         """The clock that continues that of earlier processes; OSError where their folder can't be read."""
-        return open_clock(Disk(self.told["state"]), syncs=self.told["sync"] != "off")
+        return open_clock(Disk(self.settings["state"]), syncs=self.settings["sync"] != "off")
 
     def recover(self):
         """Replays the journal; OSError where it can't be read."""
@@ -181,13 +185,13 @@
 
     def load_initial_endpoints(self):
         """Loads the endpoint list from the cache, or from the configuration where that supplies it."""
-        known = self.endpoint_cache.load() if self.endpoint_cache else self.told["known"]
+        known = self.endpoint_cache.load() if self.endpoint_cache else self.settings["known"]
         if self.endpoint_cache:
             self.tracker.discovery.on_endpoints = self.endpoint_cache.update
             if known is None:  # first start: the whole list is requested from discovery
                 return
         try:
-            index, _, entries, addresses = parse_endpoint_list(known, self.told["terms"]["listed_rates"])
+            index, _, entries, addresses = parse_endpoint_list(known, self.settings["terms"]["listed_rates"])
         except ValueError as cause:  # an invalid saved list must not prevent the start
             log_event("saved list not read", error=str(cause)[:200])
             return
@@ -199,7 +203,7 @@
         tracker = self.tracker
         tracker.ready = tracker.is_released  # a successor serves
         self.enter(Phase.CLOSING, held=len(tracker.held), clients=len(self.clients.accepted))
-        if self.told["descriptor"] is not None:
+        if self.settings["descriptor"] is not None:
             self.clients.stop_accepting()  # what waits on a shared socket is for the next process
         self.clients.close_idle()
         with trio.move_on_after(ACCEPTED_GRACE_S):  # the requests of connections that were just accepted
@@ -233,7 +237,7 @@
                     self.reload()
                 elif self.phase.holds_nothing:
                     self.nursery.cancel_scope.cancel()
-                elif self.phase is Phase.SERVING and has_successor(self.told["state"]):
+                elif self.phase is Phase.SERVING and has_successor(self.settings["state"]):
                     self.nursery.start_soon(Handover(self).run)
                 elif self.phase is Phase.SERVING:
                     self.leave()
@@ -247,25 +251,25 @@
         """Reloads the configuration. The discovery address changes at once and open messages are kept; other
         settings take effect at the next start."""
         try:
-            told = config.read()
+            settings = config.read()
         except Bad as cause:
             log_event("configuration not read, the old one stays", error=str(cause)[:400])
             return
-        set_log(**told["log"])
-        address = told["discovery"]
+        set_log(**settings["log"])
+        address = settings["discovery"]
         later = sorted(
             name
-            for name in told
-            if name not in ("discovery", "known", "log", "seed") and told[name] != self.told[name]
+            for name in settings
+            if name not in ("discovery", "known", "log", "seed") and settings[name] != self.settings[name]
         )
         log_event(
             "configuration read",
             discovery=address,
-            moved=address != self.told["discovery"],
+            moved=address != self.settings["discovery"],
             at_next_start=later,
         )
-        if address != self.told["discovery"]:
-            self.told["discovery"] = address
+        if address != self.settings["discovery"]:
+            self.settings["discovery"] = address
             self.tracker.notices.set_address(address)
             self.tracker.discovery.set_address(address)
 
@@ -288,10 +292,10 @@
                 self.endpoint_cache.save()
 
 
-def main(told):
+def main(settings):
     """Runs a relay with these settings; returns the exit code of the process."""
-    set_log(**told["log"], relay=told["name"], pid=os.getpid())
-    while (code := run_once(Relay(told))) is None:
+    set_log(**settings["log"], relay=settings["name"], pid=os.getpid())
+    while (code := run_once(Relay(settings))) is None:
         time.sleep(RESTART_INTERVAL_S)
     return code
 
--- a/courseroute/run/setup.py
+++ b/courseroute/run/setup.py
@@ -134,15 +134,15 @@
 
     def terms(self):
         """The dispatcher's settings: durations in whole nanoseconds, missing settings absent."""
-        told = {}
+        terms = {}
         for part in (self.fleet, self.sending, self.rules):
-            told |= plain(part)
-        if not told["area"]:
-            del told["area"]
-        told["kinds"] = {name: plain(kind) for name, kind in self.kinds.items()}
-        told["customers"] = dict(self.customers)
-        told["lanes"] = {name: plain(lane) for name, lane in self.lanes.items()}
-        return told
+            terms |= plain(part)
+        if not terms["area"]:
+            del terms["area"]
+        terms["kinds"] = {name: plain(kind) for name, kind in self.kinds.items()}
+        terms["customers"] = dict(self.customers)
+        terms["lanes"] = {name: plain(lane) for name, lane in self.lanes.items()}
+        return terms
 
 
 def plain(part):
@@ -154,7 +154,7 @@
     }
 
 
-def told_of(terms):
+def layout_of(terms):
     """A `terms` map (as `model.terms.parse_settings` reads the platform's settings) in the layout of a
     file."""
 
