--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -82,10 +82,9 @@
 ENDPOINT_LIST_KEY = ""
 # The rate before an outage is counted over two such spans, of which the second is still running.
 USUAL_RATE_SPAN = 4 * S
-# Resource limits of a relay: shares of its memory and disk, then sizes in bytes or items, then times.
+# Resource limits of a relay: shares of its memory (see `decisions.memory`) and disk, then sizes in bytes or
+# items, then times.
 RELAY_LIMITS = {
-    "base_memory": 30 << 20,  # resident before the first request; the shares of memory are of the rest
-    "min_shared_memory": 0.25,  # of a limit that leaves less than that
     "partial_requests_share": 0.1,
     "held_share": 0.25,
     "endpoint_cache_share": 0.05,
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -9,6 +9,7 @@
 from courseroute.checked import Bad
 from courseroute.decide import RELAY_LIMITS, Dispatcher
 from courseroute.decisions.descriptors import divide_descriptors
+from courseroute.decisions.memory import shared_bytes
 from courseroute.journal.disk import Disk
 from courseroute.journal.frames import Newer
 from courseroute.journal.learned import Learned
@@ -100,43 +101,52 @@
 
     def build(self, listener):
         """Creates the parts of the relay and connects them; nothing is sent or written yet."""
-        settings, limits, terms = self.settings, RELAY_LIMITS, dict(self.settings["terms"])
-        kept_list = int(settings["disk"] * limits["endpoint_cache_share"]) if settings["keeps_list"] else 0
+        budget = divide_descriptors(self.settings["sockets"])
+        memory = shared_bytes(self.settings["memory"])
+        terms = dict(self.settings["terms"])
+        terms["slots"] = min(terms.get("slots", budget.hosts), budget.hosts)  # each call needs a connection
+        self.build_tracker(terms, memory)
+        self.build_connections(terms, budget.hosts)
+        largest_request = RELAY_LIMITS["max_head_bytes"] + RELAY_LIMITS["max_body_bytes"]
+        partial_bytes = max(largest_request, int(memory * RELAY_LIMITS["partial_requests_share"]))
+        self.clients = Clients(
+            self.tracker, RELAY_LIMITS, listener, budget.clients, budget.refused, partial_bytes, log_event
+        )
+        self.tracker.close_idle_clients = self.clients.close_idle
+
+    def build_tracker(self, terms, memory):
+        """The tracker with its dispatcher, and the files of the folder within the limit on the disk."""
+        settings, limits = self.settings, RELAY_LIMITS
         syncs = settings["sync"] != "off"
-        clock = self.relay_clock.now
+        cached_list = int(settings["disk"] * limits["endpoint_cache_share"]) if settings["keeps_list"] else 0
         learned = int(settings["disk"] * limits["learned_state_share"])
-        room = settings["disk"] - 2 * (kept_list + learned + CLOCK_BYTES)
+        room = settings["disk"] - 2 * (cached_list + learned + CLOCK_BYTES)
         self.journal = Journal(Disk(settings["state"]), room, settings["name"], syncs)
-        self.endpoint_cache = EndpointCache(settings["state"], kept_list) if kept_list else None
-        budget = divide_descriptors(settings["sockets"])
-        terms["slots"] = min(terms.get("slots", budget.hosts), budget.hosts)  # each call needs a connection
-        memory = max(
-            settings["memory"] - limits["base_memory"], settings["memory"] * limits["min_shared_memory"]
-        )
+        self.endpoint_cache = EndpointCache(settings["state"], cached_list) if cached_list else None
+        dispatcher, clock = Dispatcher(settings["seed"], terms), self.relay_clock.now
         self.tracker = tracker = MessageTracker(
-            Dispatcher(settings["seed"], terms), terms, limits, self.journal, memory, clock, log_event
+            dispatcher, terms, limits, self.journal, memory, clock, log_event
         )
         tracker.learned = Learned(settings["state"], log_event, learned, syncs)
         tracker.syncer = Syncer(self.journal, settings["sync"], settings["sync_every"], log_event)
+        self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
+        tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
         standstills = Standstills(time.monotonic_ns)
         trio.lowlevel.add_instrument(standstills)
         tracker.longest_unread_ns = standstills.unread_for
+
+    def build_connections(self, terms, max_host_connections):
+        """The drivers of the connections to hosts and to discovery."""
+        tracker, limits, clock = self.tracker, RELAY_LIMITS, self.relay_clock.now
+        address = self.settings["discovery"]
         keep_for = terms.get("idle_close", limits["idle_timeout"]) * limits["idle_share"]
-        self.pool = ConnectionPool(budget.hosts, keep_for, time.monotonic_ns, tracker.max_idle_time)
+        self.pool = ConnectionPool(max_host_connections, keep_for, time.monotonic_ns, tracker.max_idle_time)
         tracker.hosts = Hosts(self.nursery, tracker, self.pool, limits, terms, clock, log_event)
-        tracker.notices = Notices(tracker, limits, settings["discovery"], log_event)
+        tracker.notices = Notices(tracker, limits, address, log_event)
         self.watch = Watch(terms["listed_rates"], None)
         tracker.discovery = Discovery(
-            self.nursery, tracker, tracker.hosts, limits, settings["discovery"], self.watch, clock, log_event
-        )
-        self.alarm = Alarm(clock, lambda: tracker.notify_dispatcher("wake"))
-        tracker.set_wakeup, tracker.on_exit = self.alarm.set, self.left.set
-        largest_request = limits["max_head_bytes"] + limits["max_body_bytes"]
-        half_read = max(largest_request, int(memory * limits["partial_requests_share"]))
-        self.clients = Clients(
-            tracker, limits, listener, budget.clients, budget.refused, half_read, log_event
+            self.nursery, tracker, tracker.hosts, limits, address, self.watch, clock, log_event
         )
-        tracker.close_idle_clients = self.clients.close_idle
 
     def open_clock(self):
         """The clock that continues that of earlier processes; OSError where their folder can't be read."""
