--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from helpers import RelayUnderTest
 from known_red import read_known_red
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -19,3 +20,12 @@
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(f"KNOWN RED ({outcome}): {report.nodeid}")
+
+
+@pytest.fixture
+def town(tmp_path):
+    """Scripted peers and a relay that is started on a listening socket which the platform holds."""
+    town = RelayUnderTest(tmp_path)
+    town.hold_listener()
+    yield town
+    town.close()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -18,14 +18,6 @@
 )
 
 
-@pytest.fixture
-def town(tmp_path):
-    town = RelayUnderTest(tmp_path)
-    town.hold_listener()
-    yield town
-    town.close()
-
-
 # Report ad6129: each start ended with "Address already in use", as the platform holds the listening socket.
 def test_a_relay_serves_on_the_listening_socket_that_the_platform_holds(town):
     assert town.start()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 import trio.testing
-from helpers import RelayUnderTest, wait_until
+from helpers import wait_until
 
 from courseroute.decide import RELAY_LIMITS
 from courseroute.wire.clients import Clients
@@ -20,14 +20,6 @@
 REQUEST = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
 
 
-@pytest.fixture
-def town(tmp_path):
-    town = RelayUnderTest(tmp_path)
-    town.hold_listener()
-    yield town
-    town.close()
-
-
 def phases(town, process):
     """The phases that a process has logged, in order."""
     return [
