A start says in one line that no socket takes its address, and lets its own lock go

A listen address whose host can't be encoded (TypeError) ended the start with a traceback; the test failed before. A start that is tried again in the same process would have waited for the folder that its earlier try had locked; nothing is known to raise between the lock and serving, so there is no test. A list that changes few hosts no longer copies all addresses.

--- a/courseroute/run/handover.py
+++ b/courseroute/run/handover.py
@@ -100,8 +100,7 @@
         relay.stop_working()
         relay.journal.close()
         relay.pool.close_all()
-        os.close(relay.lock)
-        relay.lock = None
+        relay.unlock()
         relay.enter(Phase.HANDED_OVER, **relay.counts(), clients=len(relay.clients.accepted))
 
     async def is_taken_over(self):
--- a/courseroute/run/listeners.py
+++ b/courseroute/run/listeners.py
@@ -4,6 +4,7 @@
 that wait on it belong to whichever process accepts them.
 """
 
+import errno
 import os
 import socket
 import stat
@@ -60,11 +61,14 @@
 
 
 def bind_socket(address):
-    """A new socket bound to an address (host, port)."""
+    """A new socket bound to an address (host, port). An address that no socket takes raises OSError too."""
     bound = socket.socket()
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind(address)
+    except (TypeError, ValueError) as error:  # a host name that can't be encoded
+        bound.close()
+        raise OSError(errno.EINVAL, f"no address: {error}") from None
     except OSError:
         bound.close()
         raise
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -47,7 +47,7 @@
     def __init__(self, settings):
         self.settings, self.phase = settings, Phase.STARTING
         self.left = trio.Event()
-        self.nursery = self.tracker = None
+        self.nursery = self.tracker = self.lock = None
         self.reload_due = False  # SIGHUP came before there was anything to reload
 
     def enter(self, phase, **fields):
@@ -83,6 +83,12 @@
             self.log_figures()
         self.enter(Phase.ENDED, **self.counts())
 
+    def unlock(self):
+        """Lets another process, or another start of this one, lock the folder."""
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
+
     def counts(self):
         """Log fields: messages held, notices pending."""
         if not self.tracker:
@@ -321,6 +327,7 @@
     except* OSError as group:
         if not relay.phase.holds_nothing:
             raise
+        relay.unlock()  # the next start is of this process too
         log_event("start failed", error=str(group.exceptions[0])[:300])
         code = None
     return code
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -55,7 +55,8 @@
     def update_addresses(self, addresses, gone, is_whole):
         """Applies the addresses of an endpoint list. Idle connections to a host that left or has another
         address now are closed: its old address may belong to another process."""
-        before = dict(self.addresses)
+        affected = self.addresses if is_whole else (*addresses, *gone)
+        before = {host: self.addresses.get(host) for host in affected}
         if is_whole:
             self.addresses.clear()
         self.addresses.update(addresses)
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -39,6 +39,19 @@
         town.close()
 
 
+# Guards against a start that ends in a traceback over an address that no socket takes.
+def test_an_address_that_no_socket_takes_is_reported_in_one_line(tmp_path):
+    town = RelayUnderTest(tmp_path)
+    try:
+        town.relay_address = ("\u00e4" * 70, 1)  # can't be encoded: too long for a part of a host name
+        town.start(wait=False)
+        assert wait_until(lambda: logged(town, "address not free"))
+        time.sleep(0.3)
+        assert town.relay.poll() is None and len(town.events()) == 1
+    finally:
+        town.close()
+
+
 # Report ad6129: a descriptor that is no socket must not end the start either.
 @pytest.mark.parametrize("passed", ["a closed descriptor", "a file"])
 def test_a_descriptor_that_is_no_socket_leaves_the_address_to_be_bound(tmp_path, passed):
