A connection that ends in an error is freed at once, not by the garbage collection

Cause: h11 raises its errors as self from a method, so that an error refers to its traceback, that to the frame, and the frame to the error; the frames hold the connection and its buffers. A run with the collection off left 28 objects for each connection, among them 6 frames; a run with DEBUG_SAVEALL named them.

Change: the traceback of an h11 error is dropped where it becomes a ProtocolError, for clients and for hosts.

Both cases of the test failed before.

--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -34,6 +34,13 @@
         self.status = status
 
 
+def protocol_error_of(cause, status):
+    """A ProtocolError with the text of another error. That one loses its traceback: an error of h11 refers to
+    itself through it, and would keep the connection's buffers until the next garbage collection."""
+    cause.__traceback__ = None
+    return ProtocolError(status, str(cause))
+
+
 class Request:
     """A complete request; header names are in lower case."""
 
@@ -80,7 +87,7 @@
             try:
                 event = self.h11.next_event()
             except (h11.RemoteProtocolError, ValueError) as cause:  # ValueError: too many digits in a length
-                raise ProtocolError(getattr(cause, "error_status_hint", 400), str(cause)) from None
+                raise protocol_error_of(cause, getattr(cause, "error_status_hint", 400)) from None
             if event is h11.NEED_DATA:
                 self.last_read = b""  # no longer needed, as the body did not come in one read
                 return None
@@ -241,7 +248,7 @@
                     self.done = True
                     return
         except (h11.RemoteProtocolError, RuntimeError, ValueError) as cause:  # as in ServerConnection.next
-            raise ProtocolError(400, str(cause)) from None
+            raise protocol_error_of(cause, 400) from None
 
     def read_first_line(self):
         """Rejects bytes that cannot start an answer at once; h11 would wait for the end of a head."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 """The HTTP state machines, and the parsing of headers, lists, load reports and the configuration."""
 
 import contextlib
+import gc
+import weakref
 
 import orjson
 import pytest
@@ -15,6 +17,7 @@
     b"POST /order/x?subject=k HTTP/1.1\r\nHost: r\r\nX-Request-Id: m1\r\nX-Deadline: 1500m\r\n"
     b"Envelope: dest=07\r\nIdempotency-Key: q\r\nContent-Length: 5\r\n\r\nhe\0lo"
 )
+BAD_ANSWER = b"HTTP/1.1 200 OK\r\nno field\r\n\r\n"
 
 
 @pytest.mark.parametrize("size", [1, 2, 7, 64, len(POST) - 1, len(POST), 2 * len(POST)])
@@ -66,6 +69,22 @@
     assert connection.next() is None and not connection.last_read and not connection.body
 
 
+# Guards against memory that grows under noise at full speed, as ended connections wait to be collected.
+@pytest.mark.parametrize("machine, noise", [(ServerConnection, b"\r\n"), (HttpClientState, BAD_ANSWER)])
+def test_a_connection_that_ends_in_an_error_is_freed_at_once(machine, noise):
+    connection = machine(16_384, 65_536)
+    freed = weakref.ref(connection.h11)
+    gc.disable()
+    try:
+        with pytest.raises(ProtocolError):
+            connection.feed(noise)
+            connection.next()
+        del connection
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
 # Guards against bodies of very many tiny chunks: one read of them held the relay up for 0.15 s.
 def test_a_body_of_tiny_chunks_is_parsed_in_turns_and_refused():
     head = b"POST /n HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n"
