A refused connection gives its place to a client with a request

Cause: a refused connection counts as served for the 0.2 s in which its client may read the answer; 47 places were held by such, and clients with requests got 503.

Change: in a full house such a connection is closed first. Its answer was written; the client is owed that, or a close.

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -55,6 +55,7 @@
         # Connections waiting for their first request, and those waiting for another one; used as ordered
         # sets.
         self.silent, self.idle = {}, {}
+        self.refused = {}  # those whose request was refused and that only wait for their client's end
         self.closing = False
         self.at_limit = False
         self.accepting = trio.CancelScope()
@@ -121,11 +122,16 @@
     def forget(self, connection):
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
+        self.refused.pop(connection, None)
         self.open_connections.discard(connection)
 
     def evict_waiting(self):
-        """Closes the connection that has waited longest without a request, so that idle connections cannot
-        keep out clients with requests. False where there is none."""
+        """Closes a connection whose request was refused, else the one that has waited longest without a
+        request, so that these cannot keep out clients with requests. False where there is none."""
+        for connection in self.refused:
+            self.forget(connection)
+            connection.read_scope.cancel()
+            return True
         return any(
             self.close_waiting(connection)
             for waiting in (self.silent, self.idle)
@@ -172,7 +178,9 @@
             http.release()
             self.count_partial(connection, 0)
             await self.write(stream, answer)
-            await finish_sending(stream, self.limits["closing_grace"] / 1e9)
+            self.refused[connection] = True
+            with trio.CancelScope() as connection.read_scope:
+                await finish_sending(stream, self.limits["closing_grace"] / 1e9)
         except EOFError:
             pass
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 from helpers import MS, S
 
 from courseroute.decide import RELAY_LIMITS
@@ -430,3 +431,25 @@
             theirs.close()
 
     trio.run(play)
+
+
+# Guards against clients that are turned away while refused connections keep their places.
+def test_a_refused_connection_gives_its_place_to_a_client_with_a_request():
+    class Ready:
+        def handle_request(self, request, peer_closed, unread):
+            return 200, (), b""
+
+    async def play():
+        clients = Clients(Ready(), RELAY_LIMITS, None, 1, 1, 99_999, lambda event, **told: None)
+        async with trio.open_nursery() as nursery:
+            ready = b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n"
+            for request, status in ((b"noise\r\n\r\n", b" 400 "), (ready, b" 200 ")):
+                ours, theirs = trio.socket.socketpair()
+                nursery.start_soon(clients.handle_connection, ours)
+                await theirs.send(request)
+                assert status in await theirs.recv(99)
+                await trio.testing.wait_all_tasks_blocked()
+            assert len(clients.open_connections) == 1 and not clients.refused
+            nursery.cancel_scope.cancel()
+
+    trio.run(play)
