A body of tiny chunks is refused in the turn in which it came

Cause: 64 such chunks were allowed and 8 parts parsed at once, so each of those connections waited for two or three turns and kept its place meanwhile.

Change: 16 tiny chunks, and 20 parts at once. Clients of the protocol send bodies with a length.

--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -12,7 +12,7 @@
 
 CLOSE_POLL_S = 0.005
 # Parts of a request, such as chunks, that are parsed at once, and those in a later turn; usually there are 3.
-MAX_EVENTS_AT_ONCE, MAX_EVENTS_PER_TURN = 8, 32
+MAX_EVENTS_AT_ONCE, MAX_EVENTS_PER_TURN = 20, 32
 
 
 class ClientConnection:
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -9,7 +9,7 @@
 
 MAX_HEADER_FIELDS = 100
 # Chunks of a body beyond the first number have to be of the second size on average, in bytes.
-MAX_SMALL_CHUNKS, MIN_CHUNK_BYTES = 64, 16
+MAX_SMALL_CHUNKS, MIN_CHUNK_BYTES = 16, 16
 BLANK_LINE = re.compile(rb"\n\r?\n")
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 REASONS = {
