Requests that are refused before they are parsed are counted by their status

The figures told why messages were closed and attempts held, not how many requests were refused for their form, their size or want of connections; beside costly clients that was the first thing to know. requests refused.400, .408, .413, .431 and .503 are in the event `figures`, by status alone, as texts of errors may hold a client's bytes.

--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -116,7 +116,14 @@
         largest_request = RELAY_LIMITS["max_head_bytes"] + RELAY_LIMITS["max_body_bytes"]
         partial_bytes = max(largest_request, int(memory * RELAY_LIMITS["partial_requests_share"]))
         self.clients = Clients(
-            self.tracker, RELAY_LIMITS, listener, budget.clients, budget.refused, partial_bytes, log_event
+            self.tracker,
+            RELAY_LIMITS,
+            listener,
+            budget.clients,
+            budget.refused,
+            partial_bytes,
+            log_event,
+            lambda status: self.tracker.metrics.count("requests refused", status),
         )
         self.tracker.close_idle_clients = self.clients.close_idle
 
--- a/courseroute/wire/clients.py
+++ b/courseroute/wire/clients.py
@@ -44,7 +44,11 @@
     `max_served` connections are served, `max_refused` more get a 503 for their request, further ones at once.
     """
 
-    def __init__(self, tracker, limits, listener, max_served, max_refused, max_partial_bytes, log):
+    def __init__(
+        self, tracker, limits, listener, max_served, max_refused, max_partial_bytes, log, count_refused=None
+    ):
+        """`count_refused(status)` is called for each request that is refused before the tracker sees it."""
+        self.count_refused = count_refused or (lambda status: None)
         self.tracker, self.limits, self.listener, self.log = tracker, limits, listener, log
         self.max_served, self.max_refused = max_served, max_refused
         self.partial_bytes_left = max_partial_bytes
@@ -174,6 +178,7 @@
                 if http.is_closed:
                     return
         except ProtocolError as cause:
+            self.count_refused(cause.status)
             answer = http.answer(cause.status, body=f"{cause}\n".encode(), close=True)
             http.release()
             self.count_partial(connection, 0)
