A SIGHUP right after the start of a process no longer ends it

Cause: a process has SIGHUP's default action until startup_signals.install runs, some 20 ms behind its start; the emulator's reload met a relay that had just been started again.

--- a/courseroute/emulator/relays.py
+++ b/courseroute/emulator/relays.py
@@ -56,6 +56,11 @@
         temporary.rename(self.faults_file)
 
 
+def ignore_hangup():
+    """Runs in a new process: SIGHUP is ignored until the relay listens for it, as by the deploy file."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def encode_setup(setup):
     """A Setup as the bytes of its TOML file."""
     return msgspec.toml.encode(msgspec.to_builtins(setup))
@@ -104,7 +109,13 @@
             environ["FAULTS_SEED"] = str(self.day.seed * 1000 + relay.number * 100 + relay.start_count)
         with open(relay.folder / "log", "ab") as log:
             relay.process = subprocess.Popen(
-                relay.command, env=environ, stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=os.getcwd()
+                relay.command,
+                env=environ,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=os.getcwd(),
+                preexec_fn=ignore_hangup,
             )
         resource.prlimit(relay.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
         self.record("relay", self.clock(), relay=relay.name, now="started")
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import resource
+import signal
 import socket
 import time
 from pathlib import Path
@@ -174,6 +175,15 @@
     assert wait_until(lambda: town.submit("a") == 202)
 
 
+# Guards against a new configuration's SIGHUP that ends a process as it has just been started.
+@pytest.mark.parametrize("delay_s", [0.005, 0.01, 0.02])
+def test_a_sighup_before_the_process_listens_for_it_does_not_end_it(town, delay_s):
+    town.start(wait=False)
+    time.sleep(delay_s)
+    town.relay.send_signal(signal.SIGHUP)
+    assert wait_until(lambda: town.submit("a") == 202)
+
+
 # Guards against a start that ends as its configuration is being replaced.
 @pytest.mark.parametrize("content", [None, b"", b'{"name": "n0", '])
 def test_a_start_waits_for_a_configuration_that_is_being_written(town, content):
