--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -8,7 +8,14 @@
 
 import random
 
-from courseroute.decisions import answer_trust, booking, learned_state, send_budget, slow_start
+from courseroute.decisions import (
+    answer_matching,
+    answer_trust,
+    booking,
+    learned_state,
+    send_budget,
+    slow_start,
+)
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
 from courseroute.decisions.host_bans import BannedHosts
 from courseroute.decisions.key_order import KeyOrder
@@ -891,6 +898,10 @@
         host = self.hosts.get(host_name)
         return host is not None and answer_trust.keeps_connections(now, host)
 
+    def may_follow_refusal(self, lane_name):
+        """Whether a call of this class may use a connection whose last answer was no delivery."""
+        return answer_matching.may_follow_refusal(self.lanes[lane_name])
+
     def record_rest(self, now, host_name, is_clean):
         """A connection to a host has rested; `is_clean`: without unsolicited bytes."""
         if host := self.hosts.get(host_name):
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -39,6 +39,8 @@
         Returns how long a connection rests behind an answer until it may be reused; None: it may not.
     keeps_connections(now, host_name)
         Returns whether an idle connection to the host may be reused.
+    may_follow_refusal(lane_name)
+        Returns whether a call of the class may use a connection whose last answer was no delivery.
     record_rest(now, host_name, is_clean)
         A connection has rested behind an answer; is_clean: nothing came meanwhile. Returns nothing.
     hold_cause(now, name, number)
--- a/courseroute/state/pool.py
+++ b/courseroute/state/pool.py
@@ -6,6 +6,7 @@
 from courseroute.wire.connection import Connection
 from courseroute.wire.socket_probe import peek_unread
 
+DELIVERED = 200
 WATCH_TIME_NS = 1_000_000_000  # for which a connection that isn't used again is kept, to see what comes
 
 
@@ -20,7 +21,9 @@
     since: int
     usable_at: int | None
 
-    def is_usable(self, now):
+    def is_usable(self, now, behind_delivery):
+        if behind_delivery and self.connection.last_exchange.status != DELIVERED:
+            return False
         return self.usable_at is not None and self.usable_at <= now
 
 
@@ -62,14 +65,14 @@
             del self.idle[host]
         return idle_connection
 
-    def take_idle(self, host):
+    def take_idle(self, host, behind_delivery=False):
         """(connection, idle time) of the newest idle connection whose quiet period is over and that is still
-        open, else (None, None).
+        open, else (None, None). `behind_delivery`: its last answer has to be a delivery.
 
         A closed connection would lose the call. On a connection used at once, a late duplicate of its last
         answer would be taken for the answer to the next call.
         """
-        while (index := self.newest_usable(host)) is not None:
+        while (index := self.newest_usable(host, behind_delivery)) is not None:
             connection, since, _ = self.pop_idle(host, index)
             idle_time = self.clock() - since
             if idle_time >= min(self.idle_timeout, self.max_idle_time()):
@@ -79,10 +82,14 @@
                 return connection, idle_time
         return None, None
 
-    def newest_usable(self, host):
-        """The index of the newest idle connection whose quiet period is over, None where there is none."""
+    def newest_usable(self, host, behind_delivery):
+        """The index of the newest idle connection that `take_idle` may return, None where there is none."""
         now = self.clock()
-        usable = [index for index, idle in enumerate(self.idle.get(host, ())) if idle.is_usable(now)]
+        usable = [
+            index
+            for index, idle in enumerate(self.idle.get(host, ()))
+            if idle.is_usable(now, behind_delivery)
+        ]
         return usable[-1] if usable else None
 
     def add_idle(self, host, connection, quiet_period):
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -246,6 +246,9 @@
     def keeps_connections(self, host):
         return self.dispatcher.keeps_connections(self.clock(), host)
 
+    def may_follow_refusal(self, lane):
+        return self.dispatcher.may_follow_refusal(lane)
+
     def connection_rested(self, host, is_clean):
         self.dispatcher.record_rest(self.clock(), host, is_clean)
 
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -6,6 +6,7 @@
 import trio
 
 from courseroute.model.causes import ConnectionCloseCause, HoldCause
+from courseroute.state.pool import DELIVERED
 from courseroute.wire import protocol
 from courseroute.wire.connection import (
     CONNECTION_ERRORS,
@@ -16,7 +17,6 @@
 
 # Errors of a connection that had been established.
 BROKEN_CONNECTION_ERRORS = (ConnectionResetError, BrokenPipeError, trio.BrokenResourceError, EOFError)
-DELIVERED = 200
 MAX_BYTES_LOGGED = 40  # of unexpected bytes behind an answer, of a load report
 ENDINGS_NOT_LOGGED = ("delivered", "full")  # of attempts that repeat none; they are only counted
 
@@ -243,7 +243,8 @@
         hosts = self.hosts
         await hosts.tracker.wait_synced()
         if hosts.tracker.keeps_connections(self.host):
-            self.connection, self.idle_ns = hosts.pool.take_idle(self.host)
+            behind_delivery = not hosts.tracker.may_follow_refusal(self.msg.lane)
+            self.connection, self.idle_ns = hosts.pool.take_idle(self.host, behind_delivery)
         self.previous_exchange = self.connection and self.connection.last_exchange
         self.connection = self.connection or await self.connect()
         if self.connection is None:
--- a/tests/test_answer_trust.py
+++ b/tests/test_answer_trust.py
@@ -82,6 +82,11 @@
     assert not fresh.keeps() and fresh.dispatcher.keeps_connections(fresh.now, "b")
 
 
+@pytest.mark.parametrize("lane, may_follow", [("retriable", True), ("keyed", True), ("once", False)])
+def test_a_call_that_may_not_run_twice_follows_no_refusal_on_a_connection(relay, lane, may_follow):
+    assert relay.dispatcher.may_follow_refusal(lane) == may_follow
+
+
 class PairedConnection:
     """A connection whose other end is `peer`."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,6 +10,7 @@
 PAIRS = 4
 ANSWER_AFTER_S = 0.08
 LATE_COPY_S = 0.35
+REST_OVER_S = 0.3  # a connection may be used again so long behind an answer
 ACCEPTED = b"HTTP/1.1 204"
 DELIVERED = b"HTTP/1.1 200"
 NOT_SENT = b"HTTP/1.1 504"
@@ -147,3 +148,26 @@
     refused = [f"b{i}" for i in range(PAIRS)]
     assert wait_until(lambda: all(len(town.calls_for(name)) == 2 for name in refused), 9)
     assert proxy.copied >= PAIRS and not town.notices
+
+
+def submit_in_turn(town, lane, names):
+    """Submits messages one after the other, each once the connection of the one before may be used again."""
+    for name in names:
+        assert town.submit(name, lane) == 202
+        assert wait_until(lambda name=name: town.calls_for(name))
+        time.sleep(ANSWER_AFTER_S + REST_OVER_S)
+
+
+# Guards against a call that may not run twice being sent again, as a copy of the refusal before it on its
+# connection met it.
+def test_a_copy_of_a_refusal_does_not_have_a_call_sent_twice_that_may_not_be(town, proxy):
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        is_refused = call["id"].startswith("a") and len(town.calls_for(call["id"])) == 1
+        return (504, {}) if is_refused else (200, {})
+
+    town.plan, proxy.copies = plan, Copies(NOT_SENT, None)
+    town.start()
+    submit_in_turn(town, "once", [f"{kind}{i}" for i in range(PAIRS) for kind in "ab"])
+    assert wait_until(lambda: all(len(town.calls_for(f"a{i}")) == 2 for i in range(PAIRS)), 9)
+    assert [len(town.calls_for(f"b{i}")) for i in range(PAIRS)] == [1] * PAIRS and not town.notices
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -43,6 +43,9 @@
     def keeps_connections(self, host):
         return True
 
+    def may_follow_refusal(self, lane):
+        return True
+
     def connection_rest(self, host, is_delivery):
         return REST
 
@@ -88,7 +91,7 @@
             )
             while not accepted:
                 await trio.sleep(0.01)
-            message = SimpleNamespace(name="a", body=b"x", idempotency_key="")
+            message = SimpleNamespace(name="a", body=b"x", idempotency_key="", lane="l")
             hosts.call(message, 0, "h", time.monotonic_ns() + 5 * SECOND_NS)
             await tracker.over.wait()
             nursery.cancel_scope.cancel()
@@ -131,7 +134,7 @@
             tracker = MessageTracker(trio.lowlevel.checkpoint)
             hosts = Hosts(nursery, tracker, pool, RELAY_LIMITS, {}, time.monotonic_ns, lambda *_, **__: None)
             hosts.update_addresses({"h": ("127.0.0.1", listeners[0].socket.getsockname()[1])}, [], True)
-            message = SimpleNamespace(name="a", body=b"x", idempotency_key="")
+            message = SimpleNamespace(name="a", body=b"x", idempotency_key="", lane="l")
             hosts.call(message, 0, "h", time.monotonic_ns() + 5 * SECOND_NS)
             await tracker.over.wait()
             await trio.testing.wait_all_tasks_blocked()
