--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -902,6 +902,19 @@
         """Whether a call of this class may use a connection whose last answer was no delivery."""
         return answer_matching.may_follow_refusal(self.lanes[lane_name])
 
+    def expects_different_bodies(self, host_name):
+        """Whether a host's delivery that equals the one before it is likely to be a copy of that."""
+        host = self.hosts.get(host_name)
+        return host is not None and answer_matching.expects_different_bodies(host)
+
+    def record_delivery_body(self, host_name, body):
+        """A host's delivery had a body with this checksum; None: it had that of the delivery before it."""
+        host = self.hosts.get(host_name)
+        if host and body is None:
+            answer_matching.record_alike(host)
+        elif host:
+            answer_matching.record_delivery(host, body)
+
     def record_rest(self, now, host_name, is_clean):
         """A connection to a host has rested; `is_clean`: without unsolicited bytes."""
         if host := self.hosts.get(host_name):
--- a/courseroute/model/causes.py
+++ b/courseroute/model/causes.py
@@ -46,5 +46,6 @@
     ADDRESS_CHANGED = "endpoint gone or at another address"
     HANDED_OVER = "folder handed over"
     ATTEMPT_HELD = "attempt not sent"
+    EQUAL_ANSWER = "answer equals the one before"
     INCOMPLETE_ANSWER = "no whole answer"
     ANSWER_ASKS_CLOSE = "answer says close"
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -41,6 +41,11 @@
         Returns whether an idle connection to the host may be reused.
     may_follow_refusal(lane_name)
         Returns whether a call of the class may use a connection whose last answer was no delivery.
+    expects_different_bodies(host_name)
+        Returns whether a delivery that equals the one before it on its connection is likely to be a copy.
+    record_delivery_body(host_name, body)
+        A delivery that is no copy came. body: its checksum, None if it equals the delivery before it. Returns
+        nothing.
     record_rest(now, host_name, is_clean)
         A connection has rested behind an answer; is_clean: nothing came meanwhile. Returns nothing.
     hold_cause(now, name, number)
--- a/courseroute/model/types.py
+++ b/courseroute/model/types.py
@@ -98,6 +98,8 @@
     unsolicited_at: int | None = None  # when it last sent bytes that no call asked for
     trust_losses: int = 0  # how often it began to
     clean_rests: int = 0  # of its connections, since then
+    delivery_bodies: tuple = ()  # checksums of its latest deliveries, while all of them differ
+    answers_alike: bool = False  # it has answered two calls with the same body
 
     @property
     def accepts_calls(self):
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -249,6 +249,12 @@
     def may_follow_refusal(self, lane):
         return self.dispatcher.may_follow_refusal(lane)
 
+    def expects_different_bodies(self, host):
+        return self.dispatcher.expects_different_bodies(host)
+
+    def record_delivery_body(self, host, body):
+        self.dispatcher.record_delivery_body(host, body)
+
     def connection_rested(self, host, is_clean):
         self.dispatcher.record_rest(self.clock(), host, is_clean)
 
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+from typing import NamedTuple
 
 import trio
 
@@ -30,9 +31,6 @@
         self.connect_within = terms.get("connect_within", limits["write_timeout"])
         self.log = log
         self.addresses, self.cancel_scopes = {}, {}  # host -> address; (message's name, n) -> scope
-        self.last_delivery = {}  # host -> the Answer to its last delivery that had a body
-        # Hosts whose deliveries have different bodies, so that an equal answer is a duplicate.
-        self.with_distinct_answers = set()
         self.unreadable_reports = set()  # hosts of which a load report could not be read
         pool.on_closed = self.record_closed_connection
         pool.on_rested = lambda host: tracker.connection_rested(host, is_clean=True)
@@ -81,11 +79,8 @@
         except Exception as cause:  # an unexpected answer must not stop the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
         del self.cancel_scopes[(msg.name, n)]
-        if attempt.duplicates:
-            if attempt.connection.call.conclusive:
-                self.tracker.connection_rested(host, is_clean=False)
-            else:  # no other answer came, so what was discarded was the answer and not a duplicate
-                self.with_distinct_answers.discard(host)
+        if attempt.equal_answers:
+            self.record_equal_answer(attempt)
         outcome, report = self.outcome_of(attempt, scope)
         self.record_attempt(attempt, outcome[0])
         try:
@@ -103,11 +98,10 @@
         that the host asked for, in nanoseconds."""
         expired = self.clock() >= attempt.until
         call = attempt.connection and attempt.connection.call
-        if attempt.sent_ns is not None and (call.conclusive or call.first_line_status == 200):
-            # The status line of a delivery is conclusive, whatever follows it.
+        if answer := attempt.answer():
             return (
-                protocol.classify_answer(call.first_line_status, call.headers),
-                self.read_load_report(attempt.host, call.headers.get("x-load", "")),
+                protocol.classify_answer(answer.status, answer.headers),
+                self.read_load_report(attempt.host, answer.headers.get("x-load", "")),
             )
         if attempt.sent_ns is None:  # it surely did not run
             held = attempt.hold_cause or scope.cancelled_caught and not expired
@@ -127,6 +121,7 @@
         if report is None and text:
             self.tracker.metrics.count("load reports", "not read")
             if host not in self.unreadable_reports:
+                self.unreadable_reports &= self.addresses.keys()
                 self.unreadable_reports.add(host)
                 self.log("load report not read", host=host, length=len(text), text=text[:MAX_BYTES_LOGGED])
         return report
@@ -175,39 +170,28 @@
                 bytes=repr(waiting[:MAX_BYTES_LOGGED]),
             )
 
-    def record_duplicate_answer(self, attempt):
-        """Counts and logs a duplicate of the previous answer that arrived in place of the call's own."""
+    def record_equal_answer(self, attempt):
+        """Records what became of an answer that equals the one before it on its connection: another answer
+        followed, so it was a copy; or none did, and it was the call's own."""
+        equal_answer = attempt.equal_answers[-1]
+        is_copy = len(attempt.equal_answers) > 1 or attempt.answer() is not equal_answer
+        if is_copy:
+            self.tracker.connection_rested(attempt.host, is_clean=False)
+        elif self.clock() >= attempt.until:
+            self.tracker.record_delivery_body(attempt.host, None)
         previous = attempt.previous_exchange
-        self.tracker.metrics.count("answers", "came twice")
+        self.tracker.metrics.count("answers", "came twice" if is_copy else "equal to the one before")
         self.log(
-            "answer came twice",
+            "answer came twice" if is_copy else "answer equals the one before",
             host=attempt.host,
             id=attempt.msg.name,
             call_before=previous and previous.id,
-            status=attempt.connection.call.status,
+            status=equal_answer.status,
             sent_ms=milliseconds(attempt.sent_ns),
-            came_ms=milliseconds(attempt.answered_ns),
+            came_ms=milliseconds(equal_answer.came_ns),
+            decided_ms=milliseconds(attempt.elapsed()),
         )
 
-    def compare_with_last_delivery(self, host, call):
-        """Notes that a host's answers differ once two of its deliveries have different bodies."""
-        if call.status != DELIVERED or not (call.done and call.size):
-            return
-        answer, last = call.answer(), self.last_delivery.get(host)
-        self.last_delivery[host] = answer
-        if last is not None and last.checksum != answer.checksum:
-            self.with_distinct_answers.add(host)
-        if max(len(self.last_delivery), len(self.unreadable_reports)) > len(self.addresses):
-            self.forget_unlisted()
-
-    def forget_unlisted(self):
-        """Drops what is kept of hosts that left the list; their ids are never used again."""
-        self.with_distinct_answers &= self.addresses.keys()
-        self.unreadable_reports &= self.addresses.keys()
-        self.last_delivery = {
-            host: self.last_delivery[host] for host in self.last_delivery if host in self.addresses
-        }
-
     def unsent(self, msg, n, host):
         """Reports an attempt that must not be sent after a short delay; reported at once, the dispatcher
         could retry in an endless loop."""
@@ -218,6 +202,21 @@
         self.tracker.attempt_ended(msg.name, n, host, "unsent", 0, False, 0, None)
 
 
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: dict
+
+
+class EqualAnswer(NamedTuple):
+    """An answer that equals the one before it on its connection. `came_ns`: when it came, as in Attempt."""
+
+    status: int
+    headers: dict
+    came_ns: int
+
+
 class Attempt:
     """One attempt at one host. Fields ending in `_ns` are nanoseconds since its dispatch, except `idle_ns`;
     they are None for what did not happen."""
@@ -232,7 +231,7 @@
         self.connection_broke = False
         self.idle_ns = None  # how long its connection had been idle, None for a new one
         self.previous_exchange = None  # the last Exchange on a reused connection
-        self.duplicates = 0  # duplicates of the previous answer that were discarded
+        self.equal_answers = []  # EqualAnswers; the last one counts as this call's if no other one follows
 
     def elapsed(self):
         """Nanoseconds since the dispatch."""
@@ -284,13 +283,25 @@
         return math.inf if send_by is None else max(0, send_by - self.hosts.clock()) / 1e9
 
     async def receive_answer(self):
-        """Receives the answer until it is conclusive; discards duplicates of the previous answer."""
+        """Receives the answer until it is conclusive. One that is likely to be a copy of the answer before it
+        is kept, and counts as this call's only if no other one follows (`decisions.answer_matching`)."""
         await self.receive_conclusive()
-        while await self.is_duplicate():
-            self.hosts.record_duplicate_answer(self)
-            self.connection.call.discard_answer()
-            self.answered_ns, self.duplicates = None, self.duplicates + 1
+        while await self.is_likely_copy():
+            call = self.connection.call
+            self.equal_answers.append(EqualAnswer(call.status, call.headers, self.answered_ns))
+            call.discard_answer()
             await self.receive_conclusive()
+            self.answered_ns = self.elapsed()
+
+    def answer(self):
+        """The AnswerHead or EqualAnswer that this call got, None without one. A delivery's status line is
+        conclusive, whatever follows it."""
+        if self.sent_ns is None:
+            return None
+        call = self.connection.call
+        if call.conclusive or call.first_line_status == DELIVERED:
+            return AnswerHead(call.first_line_status, call.headers)
+        return self.equal_answers[-1] if self.equal_answers else None
 
     async def receive_conclusive(self):
         call, hosts = self.connection.call, self.hosts
@@ -300,10 +311,13 @@
             if self.answered_ns is None:
                 self.answered_ns = self.elapsed()
 
-    async def is_duplicate(self):
-        """Whether the answer is a duplicate of the previous one on this connection."""
-        call = self.connection.call
-        if self.host not in self.hosts.with_distinct_answers or not call.repeats_previous_head():
+    async def is_likely_copy(self):
+        """Whether the answer is a delivery that equals the answer before it on this connection, of a host
+        whose deliveries have differed so far."""
+        call, tracker = self.connection.call, self.hosts.tracker
+        if call.status != DELIVERED or not call.repeats_previous_head():
+            return False
+        if not tracker.expects_different_bodies(self.host):
             return False
         with (
             contextlib.suppress(*CONNECTION_ERRORS, ProtocolError),
@@ -340,13 +354,19 @@
         self.connection.last_exchange = Exchange(self.host, self.msg.name, call.status, now)
         with trio.move_on_after(self.hosts.limits["answer_drain_timeout"] / 1e9):
             await self.connection.receive_all()
-        self.hosts.compare_with_last_delivery(self.host, call)
+        self.record_body(call)
         is_current = self.hosts.is_current(self.host, self.connection)
-        if call.reusable() and is_current and not self.duplicates:
+        if call.reusable() and is_current and not self.equal_answers:
             rest = self.hosts.tracker.connection_rest(self.host, call.status == DELIVERED)
             self.hosts.pool.add_idle(self.host, self.connection, rest)
             self.connection = None
 
+    def record_body(self, call):
+        """Records the body of a delivery, unless it may be a copy of the answer before it."""
+        body = call.body_checksum()
+        if call.status == DELIVERED and body is not None and not call.repeats_previous_answer():
+            self.hosts.tracker.record_delivery_body(self.host, body)
+
     def close(self):
         """Closes the connection unless the pool has it."""
         if self.connection is not None:
@@ -358,6 +378,8 @@
         """The ConnectionCloseCause of a connection that is not reused."""
         if self.sent_ns is None:
             return ConnectionCloseCause.ATTEMPT_HELD
+        if self.equal_answers:
+            return ConnectionCloseCause.EQUAL_ANSWER
         if not call.done:
             return ConnectionCloseCause.INCOMPLETE_ANSWER
         if not self.hosts.is_current(self.host, self.connection):
--- a/courseroute/wire/http.py
+++ b/courseroute/wire/http.py
@@ -279,6 +279,10 @@
     def answer(self):
         return Answer(self.status, self.headers, self.size, self.checksum)
 
+    def body_checksum(self):
+        """A checksum of the body of a complete answer; None where it has no body."""
+        return self.size << 32 | self.checksum if self.done and self.size else None
+
     def repeats_previous_head(self):
         """Whether the head equals that of the previous answer on the connection."""
         previous = self.previous_answer
--- a/tests/test_answer_trust.py
+++ b/tests/test_answer_trust.py
@@ -82,6 +82,23 @@
     assert not fresh.keeps() and fresh.dispatcher.keeps_connections(fresh.now, "b")
 
 
+# Guards against two faults: a copy of a delivery that counts as the next call's answer though bodies differ
+# (report 2a2b21), and a delivery that is thrown away as it equals the one before (review/8).
+@pytest.mark.parametrize(
+    "bodies, expects_different_bodies",
+    [([1], False), ([1, 2], True), ([1, 2, None], False), ([1, 2, 1, 3, 4], False), (range(40), True)],
+)
+def test_equal_deliveries_are_suspected_while_all_bodies_of_their_host_differ(
+    relay, bodies, expects_different_bodies
+):
+    for body in bodies:
+        relay.dispatcher.record_delivery_body("a", body)
+        relay.dispatcher.record_delivery_body("b", 1)
+    assert relay.dispatcher.expects_different_bodies("a") == expects_different_bodies
+    assert not relay.dispatcher.expects_different_bodies("b")
+    assert not relay.dispatcher.expects_different_bodies("not listed")
+
+
 @pytest.mark.parametrize("lane, may_follow", [("retriable", True), ("keyed", True), ("once", False)])
 def test_a_call_that_may_not_run_twice_follows_no_refusal_on_a_connection(relay, lane, may_follow):
     assert relay.dispatcher.may_follow_refusal(lane) == may_follow
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -11,6 +11,8 @@
 ANSWER_AFTER_S = 0.08
 LATE_COPY_S = 0.35
 REST_OVER_S = 0.3  # a connection may be used again so long behind an answer
+WAIT_S = 0.6
+LONGEST_ATTEMPT_S = 2.0
 ACCEPTED = b"HTTP/1.1 204"
 DELIVERED = b"HTTP/1.1 200"
 NOT_SENT = b"HTTP/1.1 504"
@@ -158,6 +160,48 @@
         time.sleep(ANSWER_AFTER_S + REST_OVER_S)
 
 
+# Guards against a delivery that is thrown away as it equals the one before it on its connection (review/8).
+@pytest.mark.parametrize("lane", ["notice", "order", "once"])
+@pytest.mark.parametrize("bodies", [b"1222", b"1223324", b"1211121"])
+def test_a_delivery_that_equals_the_one_before_it_is_not_sent_again(town, lane, bodies):
+    names = [f"m{i}" for i in range(len(bodies))]
+
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        return 200, {}, bytes([bodies[names.index(call["id"])]])
+
+    town.plan = plan
+    town.start()
+    submit_in_turn(town, lane, names)
+    time.sleep(LONGEST_ATTEMPT_S)
+    assert [len(town.calls_for(name)) for name in names] == [1] * len(names) and not town.notices
+
+
+# Guards against the wait in a refusal being missed, and its message counting as one that may have run, as it
+# equals the refusal before it on its connection (issue 56).
+@pytest.mark.parametrize("lane", ["order", "once"])
+def test_a_refusal_that_equals_the_one_before_it_is_heeded(town, lane):
+    refused = []
+
+    def plan(call):
+        time.sleep(ANSWER_AFTER_S)
+        if call["id"] == "refused" and len(town.calls_for("refused")) <= 2:
+            refused.append(time.time())
+            return 429, {"Wait-Ms": f"{WAIT_S * 1000:.0f}"}, b"busy"
+        return 200, {}, call["id"].encode()
+
+    town.settings = town.settings | {"family-info": town.settings["family-info"] | {"call-slots": 8}}
+    town.plan = plan
+    town.start()
+    submit_in_turn(town, lane, ["first", "second"])
+    assert town.submit("refused", lane) == 202
+    assert wait_until(lambda: len(refused) == 2)
+    assert town.submit("next", lane) == 202
+    assert wait_until(lambda: town.calls_for("next") and len(town.calls_for("refused")) == 3)
+    begun = [call["at"] for call in town.calls_for("refused")[2:] + town.calls_for("next")]
+    assert min(begun) >= refused[1] + WAIT_S and not town.notices
+
+
 # Guards against a call that may not run twice being sent again, as a copy of the refusal before it on its
 # connection met it.
 def test_a_copy_of_a_refusal_does_not_have_a_call_sent_twice_that_may_not_be(town, proxy):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -14,7 +14,6 @@
 from courseroute.state.pool import ConnectionPool
 from courseroute.wire.connection import Connection
 from courseroute.wire.hosts import Hosts
-from courseroute.wire.http import HttpClientState
 
 SECOND_NS = 10**9
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -46,6 +45,9 @@
     def may_follow_refusal(self, lane):
         return True
 
+    def record_delivery_body(self, host, body):
+        pass
+
     def connection_rest(self, host, is_delivery):
         return REST
 
@@ -100,22 +102,6 @@
     assert trio.run(play) == ["delivered"]
 
 
-# Guards against a message counting as delivered by a duplicate answer, the first one on its connection.
-def test_a_hosts_answers_are_distinct_once_two_deliveries_differ_on_any_connections():
-    pool = ConnectionPool(8, SECOND_NS, time.monotonic_ns, lambda: SECOND_NS)
-    hosts = Hosts(None, None, pool, RELAY_LIMITS, {}, time.monotonic_ns, None)
-    hosts.addresses = {"differs": None, "alike": None}
-    answers = ("differs", b"1"), ("alike", b"1"), ("gone", b"1"), ("differs", b"2"), ("alike", b"1")
-    for host, body in answers:
-        call = HttpClientState(
-            RELAY_LIMITS["max_head_bytes"], RELAY_LIMITS["max_body_bytes"], keep_body=False
-        )
-        call.begin("POST", "/", [("Host", "h")])
-        call.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body)
-        hosts.compare_with_last_delivery(host, call)
-    assert hosts.with_distinct_answers == {"differs"} and set(hosts.last_delivery) == {"differs", "alike"}
-
-
 # Guards against a call on a connection that came up to an address which its host has left meanwhile.
 def test_a_connection_that_comes_up_to_an_earlier_address_gets_no_call(monkeypatch):
     connect = Connection.connect
