--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -245,6 +245,8 @@
             return
         self.watch.index = None if self.endpoint_cache else index
         self.tracker.discovery.apply_endpoints("saved", entries, addresses)
+        origin = "folder" if self.endpoint_cache else "configuration"
+        log_event("endpoint list restored", origin=origin, version=index, entries=len(entries))
 
     async def close(self, listener):
         """Shuts down without leaving a request unanswered: requests still being read get 503."""
