--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -128,13 +128,24 @@
             self.plan_list_call(now + self.list_schedule.retry_delay(), self.call_for_list)
             return self.take_actions()
         if scope == "saved":
-            self.list_schedule.list_restored(now)
-        else:
-            self.watched_since = now
-            self.list_schedule.call_answered(now, now if as_of is None else as_of)
-            if self.list_schedule.is_polled:
-                self.plan_list_call(now, self.call_for_list)
-        if scope != "changes":
+            return self.restore_endpoints(now, entries)
+        self.watched_since = now
+        self.list_schedule.call_answered(now, now if as_of is None else as_of)
+        if self.list_schedule.is_polled:
+            self.plan_list_call(now, self.call_for_list)
+        self.apply_entries(now, entries, is_whole=scope == "full")
+        return self.take_actions()
+
+    def restore_endpoints(self, now, entries, knowledge=None):
+        """Handles the list with which a process begins: that of its predecessor, with its ListKnowledge, or
+        one of unknown age."""
+        self.list_schedule.list_restored(now, knowledge)
+        self.apply_entries(now, entries, is_whole=True)
+        return self.take_actions()
+
+    def apply_entries(self, now, entries, is_whole):
+        """Applies entries of an endpoint list; `is_whole`: hosts that are not among them have left it."""
+        if is_whole:
             for host in self.hosts.values():
                 host.listed, host.gone_since = False, host.gone_since or now
         for name, state, area, rate, kind, destination_name in entries:
@@ -146,7 +157,6 @@
         for host in list(self.hosts.values()):
             if host.gone_since and now - host.gone_since > FORGET_AFTER and not host.attempts:
                 self.remove_host(now, host)
-        return self.take_actions()
 
     def rebook_without_host(self, now):
         """Books messages anew whose route has no host any more, and those that had none."""
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -10,9 +10,15 @@
 all of them time out. Watches therefore wait only for a short time, so that an unresponsive discovery is
 noticed soon. Only one call is open at a time, and retries start soon and back off exponentially.
 
+A process begins with the list that its predecessor had, if that left one, and goes on as that one would have:
+what is known of a list (ListKnowledge) is passed on with it. A list that came without it, such as that of the
+configuration, is of unknown age. Where both are at hand, `is_configured_newer` chooses.
+
 Times are whole nanoseconds of the caller's clock.
 """
 
+import msgspec
+
 MS = 1_000_000
 S = 1000 * MS
 
@@ -31,6 +37,24 @@
 MAX_RESTART_TIME = 4500 * MS  # from the last answer to a process until the next process starts
 
 
+class ListKnowledge(msgspec.Struct, frozen=True):
+    """What a process knows of its endpoint list, in a form that outlives it."""
+
+    as_of: int | None = None  # when discovery's list is known to have had this content; None: never
+    usable_until: int | None = None  # None if the list does not expire
+    failing_since: int | None = None  # start of the failures of calls; None while discovery answers
+    announced_shutdown: bool = False  # discovery announced that it shuts down and has not answered since
+
+
+def is_configured_newer(saved, configured):
+    """Whether the list of the configuration is newer than the one that an earlier process left; both are
+    pairs of discovery's address and version. Versions of different addresses can't be compared: then the list
+    that this relay really had counts."""
+    saved_source, saved_version = saved
+    source, version = configured
+    return source == saved_source and saved_version is not None and version > saved_version
+
+
 class EndpointListSchedule:
     """Plans calls for the endpoint list from the results of earlier ones."""
 
@@ -47,6 +71,9 @@
             self.usable_for = terms["notified_within"] + terms["drain_grace"] - MAX_PROCESS_DELAY
             self.usable_after_move = terms["moved_notified_within"] + terms["drain_grace"] - MAX_PROCESS_DELAY
         self.usable_until = None  # None if the list does not expire
+        self.as_of = None  # when discovery's list is known to have had this content
+        # Until when a restored list may be used at the most once the process's first call has failed.
+        self.restored_until = None
         # Discovery's time to answer, without the wait: the longest recent one, decaying.
         self.response_time = 0
         self.timeouts_in_a_row = 0  # new calls that timed out since one was answered or rejected
@@ -57,9 +84,28 @@
         self.announced_shutdown = False  # discovery announced that it shuts down and has not answered since
         self.retries_at_once = False
 
-    def list_restored(self, now):
-        """The list was restored from the previous process."""
-        self.confirm(now - MAX_RESTART_TIME)
+    def list_restored(self, now, knowledge=None):
+        """The list was restored. `knowledge`: what the process that had it knew of it; None if that is not
+        known, then the list counts as MAX_RESTART_TIME old. A list that is older waits for the end of the
+        first call: a discovery that is up confirms it, and one that fails may be down."""
+        if knowledge is None or knowledge.as_of is None or knowledge.as_of > now:
+            self.extend_use(now - MAX_RESTART_TIME)
+            return
+        if self.usable_for is not None and self.answered_at is None:
+            self.restored_until = now - MAX_RESTART_TIME + self.usable_for
+        self.as_of = knowledge.as_of
+        self.announced_shutdown = knowledge.announced_shutdown
+        if self.usable_for is not None:
+            usable_until = self.as_of + self.usable_for
+            self.usable_until = min(usable_until, knowledge.usable_until or usable_until)
+
+    def is_outdated_by(self, knowledge):
+        """Whether the list of another process of this relay is newer than this one."""
+        return knowledge.as_of is not None and (self.as_of is None or knowledge.as_of > self.as_of)
+
+    def knowledge(self):
+        """The ListKnowledge for the next process."""
+        return ListKnowledge(self.as_of, self.usable_until, self.failing_since, self.announced_shutdown)
 
     def state(self):
         """State for a restarted relay, to be passed to `restore_state`; empty while discovery answers."""
@@ -89,6 +135,12 @@
         self.confirm(as_of)
 
     def confirm(self, as_of):
+        """Discovery's list had this content at `as_of`."""
+        self.as_of = max(self.as_of or 0, as_of)
+        self.extend_use(as_of)
+
+    def extend_use(self, as_of):
+        """The list may be used for as long as one that was current at `as_of`."""
         if self.usable_for is not None:
             self.usable_until = max(self.usable_until or 0, as_of + self.usable_for)
 
@@ -99,11 +151,14 @@
         self.continues_watch = False
         if self.failing_since is None:
             self.failing_since = now
+        if self.restored_until is not None and self.answered_at is None:
+            self.usable_until = max(self.usable_until, self.restored_until)
+        self.restored_until = None
 
     def watch_ended(self, now):
         """Discovery ended a watch: it shuts down, and its list was current until now."""
         self.call_failed(now)
-        self.announced_shutdown = True
+        self.announced_shutdown, self.as_of = True, now
         if self.usable_for is not None:
             self.usable_until = now + self.usable_for
 
--- a/courseroute/decisions/limits.py
+++ b/courseroute/decisions/limits.py
@@ -7,7 +7,7 @@
 RELAY_LIMITS = {
     "partial_requests_share": 0.1,
     "held_share": 0.25,
-    "endpoint_cache_share": 0.05,
+    "endpoint_cache_share": 0.025,
     "learned_state_share": 0.02,
     "overrides_share": 0.01,
     "max_head_bytes": 16 << 10,
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -17,6 +17,9 @@
         Discovery has a new address.
     update_host_bans(now, bans)
         Operators took hosts out of service or gave them back. bans: all HostBans (decisions.host_bans).
+    restore_endpoints(now, entries, knowledge)
+        The endpoint list with which a process begins. knowledge: the ListKnowledge that came with it, or
+        None.
     was_listed(name), count_hosts(now)
         Return whether discovery has ever listed a host; how many it lists, and how many of them get nothing.
     learned_state(now)
--- a/courseroute/run/config.py
+++ b/courseroute/run/config.py
@@ -97,7 +97,7 @@
     settings = figures(made(shape, Setup, path, strict=False))
     for kind in settings["terms"]["kinds"].values():
         kind["per_call"] = 1  # whatever the settings say: the socket protocol carries one message per call
-    return settings | {"known": document.get("known"), "keeps_list": False}
+    return settings | {"known": document.get("known")}
 
 
 def figures(setup):
@@ -113,7 +113,6 @@
         "ops": parse_address(setup.ops) if setup.ops else None,
         "state": setup.state,
         "known": None,
-        "keeps_list": True,
         "terms": terms,
         "log": msgspec.structs.asdict(setup.log),
         "sync": setup.journal.sync,
--- a/courseroute/run/handover.py
+++ b/courseroute/run/handover.py
@@ -96,6 +96,7 @@
         """Stops all tasks that send or write, then unlocks the folder."""
         relay = self.relay
         relay.tracker.save_learned_state()
+        relay.save_endpoints()
         relay.tracker.is_released = True
         relay.stop_working()
         relay.journal.close()
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -24,6 +24,7 @@
 from courseroute.run.clock import open_clock
 from courseroute.run.drain import Drain
 from courseroute.run.handover import ACCEPTED_GRACE_S, FOLDER_NOT_USABLE, Handover, acquire_folder
+from courseroute.run.initial_endpoints import InitialEndpoints
 from courseroute.run.listeners import open_client_socket, start_listening
 from courseroute.run.logbook import log_event, set_log
 from courseroute.run.operations import Operations
@@ -31,7 +32,7 @@
 from courseroute.run.phase import Phase, Reaction, Trigger, reaction_to
 from courseroute.run.retry import retry_os_errors
 from courseroute.run.standstill import Standstills
-from courseroute.state.endpoint_cache import EndpointCache
+from courseroute.state.endpoint_cache import STATE_BYTES, EndpointCache
 from courseroute.state.metrics import LOOP_DELAY
 from courseroute.state.overrides import OverridesFile
 from courseroute.state.pool import ConnectionPool
@@ -40,7 +41,6 @@
 from courseroute.wire.discovery import Discovery, Watch
 from courseroute.wire.hosts import Hosts
 from courseroute.wire.notices import Notices
-from courseroute.wire.protocol import parse_endpoint_list
 
 REPORT_EVERY_S = 10.0  # between two reports of counters in the log
 RESTART_INTERVAL_S = 0.25  # between two starts that the system did not allow
@@ -57,6 +57,7 @@
         self.follows = False  # another process served when this one started
         self.operations = Operations(self, self.build_overrides())
         self.operators = OperatorsThread(self.operations, settings["ops"])
+        self.list_failure = trio.Event()  # set when a call to discovery has failed
         self.reload_due = False  # SIGHUP came before there was anything to reload
 
     def enter(self, phase, **fields):
@@ -151,12 +152,12 @@
         """The tracker with its dispatcher, and the files of the folder within the limit on the disk."""
         settings, limits = self.settings, RELAY_LIMITS
         syncs = settings["sync"] != "off"
-        cached_list = int(settings["disk"] * limits["endpoint_cache_share"]) if settings["keeps_list"] else 0
+        cached_list = int(settings["disk"] * limits["endpoint_cache_share"])
         learned = int(settings["disk"] * limits["learned_state_share"])
         overrides = int(settings["disk"] * limits["overrides_share"])
-        room = settings["disk"] - 2 * (cached_list + learned + overrides + CLOCK_BYTES)
+        room = settings["disk"] - 2 * (cached_list + learned + overrides + CLOCK_BYTES + STATE_BYTES)
         self.journal = Journal(Disk(settings["state"]), room, settings["name"], syncs)
-        self.endpoint_cache = EndpointCache(settings["state"], cached_list) if cached_list else None
+        self.endpoint_cache = EndpointCache(settings["state"], cached_list, self.describe_list)
         dispatcher, clock = Dispatcher(settings["seed"], terms), self.relay_clock.now
         self.tracker = tracker = MessageTracker(
             dispatcher, terms, limits, self.journal, memory, clock, log_event
@@ -193,12 +194,14 @@
         if self.phase is not Phase.RECOVERING:
             self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
         self.operations.begin(self.follows)
+        self.initial_endpoints.restore_at_takeover()
         self.tracker.recover(same_clock=continues)
 
     def start_serving(self):
         """Starts all tasks."""
-        if self.endpoint_cache:
-            self.tracker.discovery.on_endpoints = self.endpoint_cache.update_and_save
+        self.tracker.discovery.on_endpoints = self.endpoint_cache.update_and_save
+        self.tracker.discovery.on_failure = lambda: self.list_failure.set()
+        self.endpoint_cache.save()
         self.standstills.take_longest()  # recovery does not come again
         self.tracker.ready = True
         self.enter(Phase.SERVING, restored=len(self.tracker.held), owed=len(self.tracker.pending_notices))
@@ -219,7 +222,8 @@
     def start_work(self):
         """Starts the tasks that need the folder."""
         tracker = self.tracker
-        for task in (tracker.notices.serve, self.sweep, self.compact, tracker.syncer.serve, self.report):
+        tasks = self.sweep, self.compact, self.report, self.keep_list_state
+        for task in (tracker.notices.serve, tracker.syncer.serve, *tasks):
             self.working.start_soon(task)
 
     def stop_working(self):
@@ -232,21 +236,32 @@
         self.start_work()
 
     def load_initial_endpoints(self):
-        """Loads the endpoint list from the cache, or from the configuration where that supplies it."""
-        known = self.endpoint_cache.load() if self.endpoint_cache else self.settings["known"]
-        if self.endpoint_cache:
-            self.tracker.discovery.on_endpoints = self.endpoint_cache.update
-            if known is None:  # first start: the whole list is requested from discovery
-                return
-        try:
-            index, _, entries, addresses = parse_endpoint_list(known, self.settings["terms"]["listed_rates"])
-        except ValueError as cause:  # an invalid saved list must not prevent the start
-            log_event("saved list not read", error=str(cause)[:200])
-            return
-        self.watch.index = None if self.endpoint_cache else index
-        self.tracker.discovery.apply_endpoints("saved", entries, addresses)
-        origin = "folder" if self.endpoint_cache else "configuration"
-        log_event("endpoint list restored", origin=origin, version=index, entries=len(entries))
+        """Loads the endpoint list to begin with."""
+        discovery, schedule = self.tracker.discovery, self.tracker.dispatcher.list_schedule
+        discovery.on_endpoints = self.endpoint_cache.update
+        configured, listed_rates = self.settings["known"], self.settings["terms"]["listed_rates"]
+        self.initial_endpoints = InitialEndpoints(
+            self.endpoint_cache, configured, listed_rates, discovery, schedule, self.relay_clock
+        )
+        self.initial_endpoints.restore_at_start()
+
+    def describe_list(self):
+        """The ListOrigin and the ListKnowledge of the endpoint list that is used."""
+        return self.tracker.discovery.list_origin, self.tracker.dispatcher.list_schedule.knowledge()
+
+    def save_endpoints(self):
+        """Saves the endpoint list and what is known of it, if they have changed."""
+        self.endpoint_cache.save()
+        self.endpoint_cache.save_state(*self.describe_list())
+
+    async def keep_list_state(self):
+        """Saves what is known of the list at intervals, and at once when a call to discovery has failed. On a
+        thread, as a disk that stands still must not hold up a relay that is idle."""
+        while True:
+            self.list_failure = trio.Event()
+            await trio.to_thread.run_sync(self.endpoint_cache.save_state, *self.describe_list())
+            with trio.move_on_after(RELAY_LIMITS["sweep_interval"] / 1e9):
+                await self.list_failure.wait()
 
     async def close(self, listener):
         """Shuts down without leaving a request unanswered: requests still being read get 503."""
@@ -357,8 +372,7 @@
             self.pool.close_stale()
             self.tracker.retry_unwritten()
             self.tracker.save_learned_state()
-            if self.endpoint_cache:
-                self.endpoint_cache.save()
+            self.endpoint_cache.save()
 
 
 def main(settings):
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -3,6 +3,7 @@
 import orjson
 import trio
 
+from courseroute.state.endpoint_cache import ListOrigin
 from courseroute.wire.connection import CONNECTION_ERRORS, PersistentConnection
 from courseroute.wire.http import ProtocolError
 from courseroute.wire.protocol import UNITS, parse_endpoint_list
@@ -63,7 +64,8 @@
 class Discovery:
     """Makes the calls and passes the lists to the tracker and to the drivers of the hosts.
 
-    `on_endpoints(scope, entries, addresses)` is called for each list too, where the relay saves it.
+    `on_endpoints(scope, entries, addresses)` is called for each list too, where the relay saves it, and
+    `on_failure()` behind each call that failed. `list_origin`: the ListOrigin of the list that is used.
     """
 
     def __init__(self, nursery, tracker, hosts, limits, address, watch, clock, log):
@@ -72,6 +74,8 @@
         self.call = None  # the ListCall under way
         self.idle_connection = None  # that of the last answer, until the next call
         self.on_endpoints = None
+        self.on_failure = lambda: None
+        self.list_origin = ListOrigin()
         self.answered_at, self.failures = None, 0  # time of the last answer, failed calls since then
 
     def request_list(self, wait):
@@ -94,6 +98,10 @@
             self.address, self.limits["max_head_bytes"], self.limits["max_list_bytes"]
         )
 
+    def source(self):
+        """Discovery's present address as text."""
+        return "{}:{}".format(*self.address)
+
     def set_address(self, address):
         """Sets discovery's address. A call under way is abandoned, and the new address is called at once."""
         # Versions are valid at one address only: the whole list is requested.
@@ -104,20 +112,32 @@
             self.idle_connection.close()
             self.idle_connection = None
         self.tracker.notify_dispatcher("discovery_moved")
+        self.on_failure()  # what was known of the list holds for a shorter time now
 
     def abandon_call(self):
         self.call.scope.cancel()
         self.call = None
 
     def apply_endpoints(self, scope, entries, addresses, as_of=None):
-        """Applies a list. `scope`: full, changes or saved; `addresses`: host -> address; `as_of`: when the
-        list was current, None for now."""
+        """Applies a list. `scope`: full or changes; `addresses`: host -> address; `as_of`: when the list was
+        current, None for now."""
         gone = [name for name, state, *_ in entries if state == "gone"]
         self.hosts.update_addresses(addresses, gone, is_whole=scope == "full")
         self.tracker.notify_dispatcher("update_endpoints", scope, entries, as_of)
         if self.on_endpoints:
             self.on_endpoints(scope, entries, addresses)
 
+    def restore_endpoints(self, entries, addresses, origin, knowledge):
+        """Applies the whole list of an earlier process or of the configuration. `origin`: its ListOrigin;
+        `knowledge`: its ListKnowledge, None where its age is not known."""
+        self.list_origin = origin
+        if self.answered_at is None:  # versions are valid at one address only
+            self.watch.index = origin.version if origin.source == self.source() else None
+        self.hosts.update_addresses(addresses, [], is_whole=True)
+        self.tracker.notify_dispatcher("restore_endpoints", entries, knowledge)
+        if self.on_endpoints:
+            self.on_endpoints("saved", entries, addresses)
+
     async def make_call(self, call):
         """Makes a call and handles its answer or failure, unless it was abandoned meanwhile."""
         answer, cause = None, None
@@ -143,6 +163,7 @@
     def handle_answer(self, call, answer):
         self.call, self.idle_connection = None, call.connection
         self.log_answer(call, *answer)
+        self.list_origin = ListOrigin("{}:{}".format(*call.connection.address), self.watch.index)
         self.apply_endpoints(*answer, call.as_of(self.clock()))
 
     def handle_failure(self, call, cause):
@@ -157,6 +178,7 @@
             self.tracker.notify_dispatcher("update_endpoints", "spoilt", [], self.clock() - since_written)
         else:
             self.tracker.notify_dispatcher("update_endpoints", "ended" if call.continues else "failed", [])
+        self.on_failure()
 
     def list_state(self):
         """Log fields on how current the list is; its age is the time since discovery's last answer."""
