--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -143,6 +143,13 @@
         self.apply_entries(now, entries, is_whole=True)
         return self.take_actions()
 
+    def continue_list_failures(self, now, knowledge):
+        """Handles the ListKnowledge of a predecessor that has called discovery up to this moment."""
+        self.list_schedule.continue_failures(knowledge)
+        if self.list_schedule.failing_since is not None:
+            self.schedule(self.list_schedule.down_from(), int)
+        return self.take_actions()
+
     def apply_entries(self, now, entries, is_whole):
         """Applies entries of an endpoint list; `is_whole`: hosts that are not among them have left it."""
         if is_whole:
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -103,6 +103,15 @@
         """Whether the list of another process of this relay is newer than this one."""
         return knowledge.as_of is not None and (self.as_of is None or knowledge.as_of > self.as_of)
 
+    def continue_failures(self, knowledge):
+        """Takes over the failures of the process before, up to this moment: to both, discovery fails for as
+        long as neither was answered."""
+        own, earlier = self.failing_since, knowledge.failing_since
+        if earlier is not None and (self.answered_at is None or self.answered_at < earlier):
+            own = earlier if own is None else min(own, earlier)
+        if own is not None:
+            self.failing_since = max(own, knowledge.as_of or 0)
+
     def knowledge(self):
         """The ListKnowledge for the next process."""
         return ListKnowledge(self.as_of, self.usable_until, self.failing_since, self.announced_shutdown)
--- a/courseroute/model/interface.py
+++ b/courseroute/model/interface.py
@@ -20,6 +20,8 @@
     restore_endpoints(now, entries, knowledge)
         The endpoint list with which a process begins. knowledge: the ListKnowledge that came with it, or
         None.
+    continue_list_failures(now, knowledge)
+        The ListKnowledge of a predecessor that has called discovery up to now.
     was_listed(name), count_hosts(now)
         Return whether discovery has ever listed a host; how many it lists, and how many of them get nothing.
     learned_state(now)
--- a/courseroute/run/initial_endpoints.py
+++ b/courseroute/run/initial_endpoints.py
@@ -2,7 +2,8 @@
 
 At its start a process takes the list that an earlier process left in the folder, or that of the
 configuration where the folder has none or an older one. When it takes the folder over it looks again: the
-process before may have been told of changes meanwhile, and may know that discovery is down.
+process before may have been told of changes meanwhile, and may know that discovery is down. The newer list
+counts, and both processes are one relay to the failures of discovery.
 """
 
 from courseroute.decisions.endpoint_list import is_configured_newer
@@ -26,14 +27,16 @@
         elif self.configured is not None:
             self.restore(self.configured, self.configured_origin(), None, "configuration")
 
-    def restore_at_takeover(self):
-        """Takes over what the process before knew at its end."""
+    def restore_at_takeover(self, follows):
+        """Takes over what the process before knew at its end; `follows`: that process served until now."""
         saved = self.load_saved()
         if saved is None:
             return
         knowledge = self.comparable(saved.knowledge)
         if self.is_outdated_by(knowledge):
             self.restore(saved.document, saved.origin, knowledge, "folder")
+        if follows and knowledge is not None:
+            self.discovery.tracker.notify_dispatcher("continue_list_failures", knowledge)
 
     def is_outdated_by(self, knowledge):
         """Whether the list of another process is newer; where times can't be compared, an answer that this
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -194,7 +194,7 @@
         if self.phase is not Phase.RECOVERING:
             self.enter(Phase.RECOVERING, clock="kept" if continues else "new")
         self.operations.begin(self.follows)
-        self.initial_endpoints.restore_at_takeover()
+        self.initial_endpoints.restore_at_takeover(self.follows)
         self.tracker.recover(same_clock=continues)
 
     def start_serving(self):
--- a/tests/test_initial_endpoints.py
+++ b/tests/test_initial_endpoints.py
@@ -112,33 +112,68 @@
     assert submit_through_outage(town) == ["h2"] * MESSAGES
 
 
-def relay_with(knowledge):
-    """A relay that begins with a list and what is known of it, at the time of `DispatcherHarness`."""
+def relay_with(knowledge, follows=False, at=None):
+    """A relay that begins with a list and what is known of it, at the time of `DispatcherHarness` or `at`."""
     relay = DispatcherHarness(hosts=(), ask=True, ask_within=10 * S, **TERMS)
+    relay.now = relay.now if at is None else at
     relay.dispatcher.list_schedule = EndpointListSchedule(relay.dispatcher.terms, relay.dispatcher.uniform)
     relay.apply("restore_endpoints", ENTRIES, knowledge)
+    if follows:
+        relay.apply("continue_list_failures", knowledge)
     return relay
 
 
+def sends_within(relay, span):
+    """How many messages are sent within a span in which one comes every 100 ms and each call for the list
+    fails."""
+    sent, end = 0, relay.now + span
+    while relay.now < end:
+        actions = relay.accept(left=1 * S)[1]
+        for _ in range(10):
+            actions += relay.run(10 * MS)
+            for kind, *details in actions:
+                if kind == "send":
+                    sent += 1
+                    actions += relay.report_outcome(details[0], "delivered", host=details[1])
+                elif kind == "watch":
+                    actions += relay.apply("update_endpoints", "failed", [])
+            actions = []
+    return sent
+
+
 BEGUN_AT = DispatcherHarness().now
+OUTAGE = 14 * S
+
+
+# Guards against an upgrade that holds messages back in an outage which the relay has known for some time.
+@pytest.mark.parametrize("failing_for", [1 * S, 4 * S, 7 * S])
+def test_as_much_is_sent_in_an_outage_with_an_upgrade_as_without(failing_for):
+    old = DispatcherHarness(ask=True, ask_within=10 * S, **TERMS)
+    old.apply("update_endpoints", "failed", [])
+    sends_within(old, failing_for)
+    knowledge = old.dispatcher.list_schedule.knowledge()
+    new = relay_with(knowledge, follows=True, at=old.now)
+    with_upgrade, without = sends_within(new, OUTAGE), sends_within(old, OUTAGE)
+    assert abs(with_upgrade - without) <= 2 and without > 100
 
 
 @pytest.mark.parametrize(
-    "knowledge, is_usable",
+    "knowledge, follows, is_usable",
     [
-        (ListKnowledge(BEGUN_AT - 1 * S, BEGUN_AT + 5 * S), True),
-        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT - 1), False),
-        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT - 1, BEGUN_AT - 6 * S, True), True),
-        (ListKnowledge(BEGUN_AT - 99 * S, BEGUN_AT - 92 * S, BEGUN_AT - 98 * S), False),
-        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT + 99 * S), False),  # no time beyond the list's age
-        (ListKnowledge(BEGUN_AT - 2 * S, BEGUN_AT - 1), False),  # discovery has moved
-        (ListKnowledge(BEGUN_AT + 9 * S, BEGUN_AT + 99 * S), True),  # a time to come: age unknown
-        (ListKnowledge(), True),
-        (None, True),
+        (ListKnowledge(BEGUN_AT - 1 * S, BEGUN_AT + 5 * S), False, True),
+        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT - 1), False, False),
+        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT - 1, BEGUN_AT - 6 * S, True), False, True),
+        (ListKnowledge(BEGUN_AT - 99 * S, BEGUN_AT - 92 * S, BEGUN_AT - 98 * S), False, False),
+        (ListKnowledge(BEGUN_AT - 99 * S, BEGUN_AT - 92 * S, BEGUN_AT - 98 * S), True, True),
+        (ListKnowledge(BEGUN_AT - 7 * S, BEGUN_AT + 99 * S), False, False),  # no time beyond the list's age
+        (ListKnowledge(BEGUN_AT - 2 * S, BEGUN_AT - 1), False, False),  # discovery has moved
+        (ListKnowledge(BEGUN_AT + 9 * S, BEGUN_AT + 99 * S), False, True),  # a time to come: age unknown
+        (ListKnowledge(), False, True),
+        (None, False, True),
     ],
 )
-def test_until_the_first_call_a_list_is_used_as_its_knowledge_allows(knowledge, is_usable):
-    relay = relay_with(knowledge)
+def test_until_the_first_call_a_list_is_used_as_its_knowledge_allows(knowledge, follows, is_usable):
+    relay = relay_with(knowledge, follows)
     name, actions = relay.accept()
     assert bool(actions_named(actions, "send")) == is_usable
     if is_usable:
@@ -159,11 +194,29 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "answered_at, own, earlier, as_of, failing_since",
+    [
+        (None, None, 5, 4, 5),
+        (None, 8, 5, 4, 5),
+        (None, 8, None, 9, 9),  # the process before was answered later
+        (6, None, 5, 4, None),  # this one was
+        (6, 8, 5, 4, 8),
+        (None, None, None, None, None),
+    ],
+)
+def test_two_processes_are_one_to_the_failures_of_discovery(answered_at, own, earlier, as_of, failing_since):
+    schedule = EndpointListSchedule(TERMS, None)
+    schedule.answered_at, schedule.failing_since = answered_at, own
+    schedule.continue_failures(ListKnowledge(as_of, None, earlier))
+    assert schedule.failing_since == failing_since
+
+
 class Discovery:
     """Records the lists that it is given."""
 
     def __init__(self):
-        self.restored = []
+        self.restored, self.tracker = [], self
 
     def source(self):
         return "127.0.0.1:1"
@@ -171,6 +224,9 @@
     def restore_endpoints(self, entries, addresses, origin, knowledge):
         self.restored.append((origin.version, knowledge and knowledge.as_of))
 
+    def notify_dispatcher(self, method, knowledge):
+        self.restored.append(method)
+
 
 class Clock:
     continues = True
@@ -215,14 +271,15 @@
 
 # Guards against a successor that keeps an older list than that of the process before, or takes one.
 @pytest.mark.parametrize("own_as_of, is_taken", [(None, True), (29 * S, True), (31 * S, False)])
-def test_at_the_takeover_the_later_list_counts(tmp_path, own_as_of, is_taken):
+@pytest.mark.parametrize("follows", [True, False])
+def test_at_the_takeover_the_later_list_counts(tmp_path, own_as_of, is_taken, follows):
     schedule = DispatcherHarness(**TERMS).dispatcher.list_schedule
     schedule.as_of = own_as_of
     cache = save_list(tmp_path, "127.0.0.1:1", 5, 29 * S, ENTRIES)
     cache.save_state(ListOrigin("127.0.0.1:1", 5), ListKnowledge(30 * S, 36 * S, 31 * S))
     discovery = Discovery()
-    InitialEndpoints(cache, None, False, discovery, schedule, Clock()).restore_at_takeover()
-    assert discovery.restored == is_taken * [(5, 30 * S)]
+    InitialEndpoints(cache, None, False, discovery, schedule, Clock()).restore_at_takeover(follows)
+    assert discovery.restored == is_taken * [(5, 30 * S)] + follows * ["continue_list_failures"]
 
 
 # Guards against the age of a newer list counting for an older one whose file could not be replaced.
