--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -43,7 +43,7 @@
     as_of: int | None = None  # when discovery's list is known to have had this content; None: never
     usable_until: int | None = None  # None if the list does not expire
     failing_since: int | None = None  # start of the failures of calls; None while discovery answers
-    announced_shutdown: bool = False  # discovery announced that it shuts down and has not answered since
+    is_down: bool = False  # discovery counts as down: it announced that, or has failed for long
 
 
 def is_configured_newer(saved, configured):
@@ -81,7 +81,9 @@
         # Calls in a row without an answer in time, not counting the watch that failed first.
         self.failures = 0
         self.failing_since = self.answered_at = None
-        self.announced_shutdown = False  # discovery announced that it shuts down and has not answered since
+        # Discovery announced that it shuts down, or an earlier process counted it as down, and it has not
+        # answered since.
+        self.counts_as_down = False
         self.retries_at_once = False
 
     def list_restored(self, now, knowledge=None):
@@ -94,7 +96,7 @@
         if self.usable_for is not None and self.answered_at is None:
             self.restored_until = now - MAX_RESTART_TIME + self.usable_for
         self.as_of = knowledge.as_of
-        self.announced_shutdown = knowledge.announced_shutdown
+        self.counts_as_down = knowledge.is_down
         if self.usable_for is not None:
             usable_until = self.as_of + self.usable_for
             self.usable_until = min(usable_until, knowledge.usable_until or usable_until)
@@ -112,26 +114,26 @@
         if own is not None:
             self.failing_since = max(own, knowledge.as_of or 0)
 
-    def knowledge(self):
+    def knowledge(self, now):
         """The ListKnowledge for the next process."""
-        return ListKnowledge(self.as_of, self.usable_until, self.failing_since, self.announced_shutdown)
+        return ListKnowledge(self.as_of, self.usable_until, self.failing_since, self.is_down(now))
 
     def state(self):
         """State for a restarted relay, to be passed to `restore_state`; empty while discovery answers."""
-        has_failed = self.failing_since is not None or self.announced_shutdown
-        return [self.usable_until, self.announced_shutdown] if has_failed else []
+        has_failed = self.failing_since is not None or self.counts_as_down
+        return [self.usable_until, self.counts_as_down] if has_failed else []
 
     def restore_state(self, state, saved_at):
         """Restores state after a restart, which must not extend the list's validity. A discovery that
-        announced its shutdown stays down for the new process. One that only failed has to fail again for the
-        full time, as it may be crowded. What was saved before discovery answered this process says nothing.
-        Raises TypeError or ValueError if the state is malformed."""
+        counted as down stays down for the new process. One that failed for less than the full time has to
+        fail for that time again, as it may be crowded. What was saved before discovery answered this process
+        says nothing. Raises TypeError or ValueError if the state is malformed."""
         usable_until, announced_shutdown = state
         if not (usable_until is None or type(usable_until) is int) or type(announced_shutdown) is not bool:
             raise TypeError(f"{usable_until!r:.40}, {announced_shutdown!r:.40}")
         if self.answered_at is not None and self.answered_at >= saved_at:
             return
-        self.announced_shutdown = announced_shutdown
+        self.counts_as_down = self.counts_as_down or announced_shutdown
         if usable_until is not None and self.usable_until is not None:
             self.usable_until = min(self.usable_until, usable_until)
 
@@ -140,7 +142,7 @@
         self.response_time = max(now - as_of, self.response_time * RESPONSE_TIME_DECAY)
         self.answered_at = now
         self.continues_watch, self.failures, self.timeouts_in_a_row = True, 0, 0
-        self.failing_since, self.announced_shutdown = None, False
+        self.failing_since, self.counts_as_down = None, False
         self.confirm(as_of)
 
     def confirm(self, as_of):
@@ -167,7 +169,7 @@
     def watch_ended(self, now):
         """Discovery ended a watch: it shuts down, and its list was current until now."""
         self.call_failed(now)
-        self.announced_shutdown, self.as_of = True, now
+        self.counts_as_down, self.as_of = True, now
         if self.usable_for is not None:
             self.usable_until = now + self.usable_for
 
@@ -181,7 +183,7 @@
     def address_changed(self, now):
         """Discovery has a new address; failures at the old one say nothing about the new one."""
         self.continues_watch, self.failures, self.timeouts_in_a_row = False, 0, 0
-        self.failing_since, self.announced_shutdown = None, False
+        self.failing_since, self.counts_as_down = None, False
         if self.usable_until is not None:
             self.usable_until = min(self.usable_until, now + self.usable_after_move)
 
@@ -192,7 +194,7 @@
         return self.usable_until is not None and now >= self.usable_until and not self.is_down(now)
 
     def is_down(self, now):
-        return self.announced_shutdown or (self.failing_since is not None and now >= self.down_from())
+        return self.counts_as_down or (self.failing_since is not None and now >= self.down_from())
 
     def down_from(self):
         """The time at which discovery counts as down if it keeps failing. Valid only while it fails."""
--- a/courseroute/run/initial_endpoints.py
+++ b/courseroute/run/initial_endpoints.py
@@ -78,5 +78,5 @@
             version=origin.version,
             entries=len(entries),
             age_ms=None if age is None else age // 1_000_000,
-            discovery_down=bool(knowledge and knowledge.announced_shutdown),
+            discovery_down=bool(knowledge and knowledge.is_down),
         )
--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -247,7 +247,8 @@
 
     def describe_list(self):
         """The ListOrigin and the ListKnowledge of the endpoint list that is used."""
-        return self.tracker.discovery.list_origin, self.tracker.dispatcher.list_schedule.knowledge()
+        schedule = self.tracker.dispatcher.list_schedule
+        return self.tracker.discovery.list_origin, schedule.knowledge(self.relay_clock.now())
 
     def save_endpoints(self):
         """Saves the endpoint list and what is known of it, if they have changed."""
--- a/tests/test_initial_endpoints.py
+++ b/tests/test_initial_endpoints.py
@@ -151,7 +151,7 @@
     old = DispatcherHarness(ask=True, ask_within=10 * S, **TERMS)
     old.apply("update_endpoints", "failed", [])
     sends_within(old, failing_for)
-    knowledge = old.dispatcher.list_schedule.knowledge()
+    knowledge = old.dispatcher.list_schedule.knowledge(old.now)
     new = relay_with(knowledge, follows=True, at=old.now)
     with_upgrade, without = sends_within(new, OUTAGE), sends_within(old, OUTAGE)
     assert abs(with_upgrade - without) <= 2 and without > 100
@@ -194,6 +194,19 @@
     ]
 
 
+# Guards against a restart that holds messages back as the outage that the relay had noticed is forgotten.
+@pytest.mark.parametrize("failing_for, is_down", [(7 * S, False), (9 * S, True)])
+def test_a_discovery_that_counted_as_down_stays_down_behind_a_restart(failing_for, is_down):
+    old = DispatcherHarness(ask=True, ask_within=10 * S, **TERMS)
+    old.apply("update_endpoints", "failed", [])
+    sends_within(old, failing_for)
+    new = relay_with(old.dispatcher.list_schedule.knowledge(old.now), at=old.now + 3 * S)
+    new.apply("restore_learned_state", old.dispatcher.learned_state(old.now), old.now)
+    assert (sends_within(new, 5 * S) >= 45) == is_down
+    new.apply("update_endpoints", "changes", [])
+    assert not new.dispatcher.list_schedule.is_down(new.now)
+
+
 @pytest.mark.parametrize(
     "answered_at, own, earlier, as_of, failing_since",
     [
