--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -140,6 +140,8 @@
         """Handles the list with which a process begins: that of its predecessor, with its ListKnowledge, or
         one of unknown age."""
         self.list_schedule.list_restored(now, knowledge)
+        if self.list_schedule.restored_from is not None:
+            self.schedule(self.list_schedule.restored_from, int)
         self.apply_entries(now, entries, is_whole=True)
         return self.take_actions()
 
--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -34,6 +34,7 @@
 TIMEOUT_FACTOR, RESPONSE_TIME_DECAY = 1.5, 0.9
 FIRST_RETRY_DELAY = 1 * S  # the upper bound; the lower one is three quarters of it
 DOWN_AFTER = 8 * S  # time of failures; a crowded discovery accepts a call of every relay sooner
+MIN_FIRST_ANSWER_TIME = 500 * MS  # for which a process waits for discovery's first answer
 MAX_RESTART_TIME = 4500 * MS  # from the last answer to a process until the next process starts
 
 
@@ -44,6 +45,7 @@
     usable_until: int | None = None  # None if the list does not expire
     failing_since: int | None = None  # start of the failures of calls; None while discovery answers
     is_down: bool = False  # discovery counts as down: it announced that, or has failed for long
+    response_time: int = 0  # discovery's usual time to answer
 
 
 def is_configured_newer(saved, configured):
@@ -72,8 +74,8 @@
             self.usable_after_move = terms["moved_notified_within"] + terms["drain_grace"] - MAX_PROCESS_DELAY
         self.usable_until = None  # None if the list does not expire
         self.as_of = None  # when discovery's list is known to have had this content
-        # Until when a restored list may be used at the most once the process's first call has failed.
-        self.restored_until = None
+        # From when and until when a restored list whose time is over is used while no answer has come.
+        self.restored_from = self.restored_until = None
         # Discovery's time to answer, without the wait: the longest recent one, decaying.
         self.response_time = 0
         self.timeouts_in_a_row = 0  # new calls that timed out since one was answered or rejected
@@ -88,12 +90,15 @@
 
     def list_restored(self, now, knowledge=None):
         """The list was restored. `knowledge`: what the process that had it knew of it; None if that is not
-        known, then the list counts as MAX_RESTART_TIME old. A list that is older waits for the end of the
-        first call: a discovery that is up confirms it, and one that fails may be down."""
+        known, then the list counts as MAX_RESTART_TIME old. A list whose time is over waits for the first
+        answer for as long as discovery usually takes, or until the first call fails: then discovery may be
+        down, and the list is used for no longer than one of MAX_RESTART_TIME."""
         if knowledge is None or knowledge.as_of is None or knowledge.as_of > now:
             self.extend_use(now - MAX_RESTART_TIME)
             return
         if self.usable_for is not None and self.answered_at is None:
+            usual = int(knowledge.response_time * TIMEOUT_FACTOR)
+            self.restored_from = now + min(max(MIN_FIRST_ANSWER_TIME, usual), MIN_CALL_TIMEOUT)
             self.restored_until = now - MAX_RESTART_TIME + self.usable_for
         self.as_of = knowledge.as_of
         self.counts_as_down = knowledge.is_down
@@ -116,7 +121,9 @@
 
     def knowledge(self, now):
         """The ListKnowledge for the next process."""
-        return ListKnowledge(self.as_of, self.usable_until, self.failing_since, self.is_down(now))
+        return ListKnowledge(
+            self.as_of, self.usable_until, self.failing_since, self.is_down(now), self.response_time
+        )
 
     def state(self):
         """State for a restarted relay, to be passed to `restore_state`; empty while discovery answers."""
@@ -162,9 +169,8 @@
         self.continues_watch = False
         if self.failing_since is None:
             self.failing_since = now
-        if self.restored_until is not None and self.answered_at is None:
-            self.usable_until = max(self.usable_until, self.restored_until)
-        self.restored_until = None
+        if self.restored_from is not None:
+            self.restored_from = min(self.restored_from, now)
 
     def watch_ended(self, now):
         """Discovery ended a watch: it shuts down, and its list was current until now."""
@@ -191,7 +197,16 @@
         """Whether the list may be out of date, so that nothing may be sent. While discovery is down, no
         relay learns of changes and the last list stays valid. A crowded discovery rejects calls in the same
         way, so it only counts as down after some time."""
-        return self.usable_until is not None and now >= self.usable_until and not self.is_down(now)
+        if self.usable_until is None or now < self.usable_until:
+            return False
+        return not self.is_down(now) and not self.may_use_restored(now)
+
+    def may_use_restored(self, now):
+        """Whether a restored list whose time is over may be used, as discovery has not answered this process
+        so far."""
+        if self.answered_at is not None or self.restored_from is None:
+            return False
+        return self.restored_from <= now < self.restored_until
 
     def is_down(self, now):
         return self.counts_as_down or (self.failing_since is not None and now >= self.down_from())
--- a/tests/test_initial_endpoints.py
+++ b/tests/test_initial_endpoints.py
@@ -180,18 +180,25 @@
         assert relay.dispatcher.hold_cause(relay.now, name, 0) is not HoldCause.LIST_TOO_OLD
 
 
-# Guards against an old list of unconfirmed hosts ending all service where discovery went down unseen.
-def test_a_list_whose_time_is_over_is_used_for_a_while_once_the_first_call_has_failed():
-    relay = relay_with(ListKnowledge(BEGUN_AT - 30 * S, BEGUN_AT - 23 * S))
+# Guards against a list that nobody has confirmed ending all service where discovery went down unseen.
+@pytest.mark.parametrize(
+    "response_time, fails_at, used_from",
+    [(0, None, 500 * MS), (0, 20 * MS, 20 * MS), (S, None, 1500 * MS), (1300 * MS, None, 1950 * MS)],
+)
+def test_a_list_whose_time_is_over_is_used_for_a_while_where_no_first_answer_comes(
+    response_time, fails_at, used_from
+):
+    as_of = BEGUN_AT - 30 * S
+    relay = relay_with(ListKnowledge(as_of, as_of + 6850 * MS, response_time=response_time))
     assert not actions_named(relay.accept()[1], "send")
-    assert actions_named(relay.apply("update_endpoints", "failed", []), "send")
+    if fails_at is not None:
+        relay.run(fails_at)
+        relay.apply("update_endpoints", "failed", [])
+    relay.run(BEGUN_AT + used_from + 5 * MS - relay.now)
+    begun = [at for at, *_ in relay.sends()]
+    assert begun and used_from <= begun[0] - BEGUN_AT <= used_from + 5 * MS
     schedule = relay.dispatcher.list_schedule
-    assert [schedule.is_unusable(BEGUN_AT + after * MS) for after in (2300, 2400, 7900, 8000)] == [
-        False,
-        True,
-        True,
-        False,
-    ]
+    assert not schedule.is_unusable(BEGUN_AT + 2345 * MS) and schedule.is_unusable(BEGUN_AT + 2350 * MS)
 
 
 # Guards against a restart that holds messages back as the outage that the relay had noticed is forgotten.
