A restart extends no list whose time was over for its predecessor

Cause: EndpointListSchedule.list_restored gave a restored list whose time is over the 2.35 s that a list of unknown age has, also where the process before had been failing to reach discovery and had stopped sending by it.

Change: only where discovery had answered the process before to its end.

--- a/courseroute/decisions/endpoint_list.py
+++ b/courseroute/decisions/endpoint_list.py
@@ -92,11 +92,13 @@
         """The list was restored. `knowledge`: what the process that had it knew of it; None if that is not
         known, then the list counts as MAX_RESTART_TIME old. A list whose time is over waits for the first
         answer for as long as discovery usually takes, or until the first call fails: then discovery may be
-        down, and the list is used for no longer than one of MAX_RESTART_TIME."""
+        down, and the list is used for no longer than one of MAX_RESTART_TIME. Not where calls failed before:
+        a restart extends no list's validity."""
         if knowledge is None or knowledge.as_of is None or knowledge.as_of > now:
             self.extend_use(now - MAX_RESTART_TIME)
             return
-        if self.usable_for is not None and self.answered_at is None:
+        was_answered = knowledge.failing_since is None  # else its time was over for the predecessor too
+        if self.usable_for is not None and self.answered_at is None and was_answered:
             usual = int(knowledge.response_time * TIMEOUT_FACTOR)
             self.restored_from = now + min(max(MIN_FIRST_ANSWER_TIME, usual), MIN_CALL_TIMEOUT)
             self.restored_until = now - MAX_RESTART_TIME + self.usable_for
--- a/tests/test_initial_endpoints.py
+++ b/tests/test_initial_endpoints.py
@@ -199,6 +199,9 @@
     assert begun and used_from <= begun[0] - BEGUN_AT <= used_from + 5 * MS
     schedule = relay.dispatcher.list_schedule
     assert not schedule.is_unusable(BEGUN_AT + 2345 * MS) and schedule.is_unusable(BEGUN_AT + 2350 * MS)
+    relay = relay_with(ListKnowledge(as_of, as_of + 6850 * MS, as_of + S, response_time=response_time))
+    relay.accept()
+    assert not actions_named(relay.run(2350 * MS), "send")  # its time was over before the restart too
 
 
 # Guards against a restart that holds messages back as the outage that the relay had noticed is forgotten.
