--- a/courseroute/run/relay.py
+++ b/courseroute/run/relay.py
@@ -170,6 +170,7 @@
         self.standstills = Standstills(time.monotonic_ns)
         trio.lowlevel.add_instrument(self.standstills)
         tracker.longest_unread_ns = self.standstills.unread_for
+        tracker.heed_stall = self.standstills.heed
 
     def build_connections(self, terms, max_host_connections):
         """The drivers of the connections to hosts and to discovery."""
--- a/courseroute/run/standstill.py
+++ b/courseroute/run/standstill.py
@@ -13,6 +13,10 @@
         self.clock, self.seen_at = clock, clock()
         self.began = self.ended = None  # of the last stall
         self.longest = 0  # since `take_longest` was called
+        self.is_unheeded, self.heeded_at = (
+            False,
+            self.seen_at,
+        )  # whether one ended, and when `heed` was called
 
     def before_io_wait(self, timeout):
         self.look(0.0)
@@ -25,7 +29,7 @@
         now = self.clock()
         late = now - self.seen_at - int(expected_s * 1e9)
         if late > MIN_STALL_NS:
-            self.longest = max(self.longest, late)
+            self.longest, self.is_unheeded = max(self.longest, late), True
             if not self.is_recent(self.seen_at):
                 self.began = self.seen_at
             self.ended = now
@@ -36,6 +40,13 @@
         longest, self.longest = self.longest, 0
         return longest
 
+    def heed(self):
+        """Whether the process has stood still since the last call, also within a task that still runs."""
+        now = self.clock()
+        is_late = now - max(self.seen_at, self.heeded_at) > MIN_STALL_NS
+        has_stalled, self.is_unheeded, self.heeded_at = self.is_unheeded or is_late, False, now
+        return has_stalled
+
     def is_recent(self, now):
         """Whether requests that arrived during the last stall may still be unread at `now`."""
         return self.ended is not None and now - self.ended <= READ_WITHIN_NS
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -42,7 +42,9 @@
         self.hosts = self.notices = self.discovery = self.set_wakeup = self.on_exit = (
             self.close_idle_clients
         ) = None
-        self.queued_events, self.dispatching, self.ready = deque(), False, False
+        self.queued_events, self.dispatching, self.ready = deque(), False, False  # batches of events
+        self.collected_events = None  # a list while events are collected for one batch
+        self.heed_stall = lambda: False  # whether the process has stood still since the last call
         self.is_draining = False  # an operator empties the relay: it isn't to get new clients
         self.heed_changes = lambda: None  # looks whether operators have taken a host out
         self.is_released = False  # another process has the folder: new messages are rejected
@@ -307,23 +309,41 @@
 
     def notify_dispatcher(self, method, *args):
         """Calls a method of the dispatcher and executes the actions it returns. Each event is a batch of its
-        own; one that arrives while another's actions are executed is queued behind it."""
-        self.queued_events.append((method, args))
+        own; one that arrives while another's actions are executed is queued behind it. What arrived while the
+        process stood still comes first."""
+        if self.collected_events is not None:
+            self.collected_events.append((method, args))
+            return
+        if self.heed_stall():
+            self.queued_events.append(self.collect_arrived())
+        self.queued_events.append([(method, args)])
         if self.dispatching:
             return
         self.dispatching = True
         try:
             while self.queued_events:
-                method, args = self.queued_events.popleft()
-                for action in self.decide(self.clock(), method, args):
+                batch = self.queued_events.popleft()
+                for action in self.decide(self.clock(), batch):
                     self.run_guarded(self.execute, action)
         finally:
             self.dispatching = False
 
-    def decide(self, now, event, event_args):
-        """The actions that follow from an event. A dispatcher method that raises gives a wake-up instead."""
+    def collect_arrived(self):
+        """The events of answers that arrived while the process stood still, as one batch: until the last of
+        them is known no time is judged."""
+        self.collected_events = []
+        try:
+            if self.hosts is not None:
+                self.run_guarded(self.hosts.report_arrived)
+            return self.collected_events
+        finally:
+            self.collected_events = None
+
+    def decide(self, now, batch):
+        """The actions that follow from a batch of events, each a method of the dispatcher with its arguments.
+        One that raises gives a wake-up instead."""
         actions = []
-        for method, args in ((event, event_args), ("end_batch", ())):
+        for method, args in (*batch, ("end_batch", ())):
             more = self.run_guarded(getattr(self.dispatcher, method), now, *args)
             actions += [("wake", self.limits["sweep_interval"])] if more is None else more
         return actions
--- a/courseroute/wire/connection.py
+++ b/courseroute/wire/connection.py
@@ -11,7 +11,7 @@
 import trio
 
 from courseroute.wire.http import HttpClientState, ProtocolError
-from courseroute.wire.socket_probe import peek_unread
+from courseroute.wire.socket_probe import peek_unread, read_arrived
 
 # Errors of a broken connection.
 CONNECTION_ERRORS = (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError)
@@ -64,6 +64,16 @@
         """Reads once and passes the bytes to the HTTP state."""
         self.call.feed(await self.stream.receive_some(self.max_read))
 
+    def receive_arrived(self):
+        """Reads what has arrived, without waiting, and passes it to the HTTP state; returns whether there was
+        something."""
+        if self.stream is None or self.socket.fileno() < 0:
+            return False
+        data = read_arrived(self.socket, self.max_read)
+        if data:
+            self.call.feed(data)
+        return bool(data)
+
     async def receive_all(self):
         """Reads until the answer is complete."""
         while not self.call.done:
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -31,6 +31,7 @@
         self.connect_within = terms.get("connect_within", limits["write_timeout"])
         self.log = log
         self.addresses, self.cancel_scopes = {}, {}  # host -> address; (message's name, n) -> scope
+        self.running = {}  # (message's name, n) -> Attempt
         self.unreadable_reports = set()  # hosts of which a load report could not be read
         pool.on_closed = self.record_closed_connection
         pool.on_rested = lambda host: tracker.connection_rested(host, is_clean=True)
@@ -69,7 +70,7 @@
 
     async def run_attempt(self, msg, n, host, until, scope):
         """Makes an attempt and reports how it ended. The rest of its answer is read behind the report."""
-        attempt = Attempt(self, msg, n, host, until)
+        attempt = self.running[(msg.name, n)] = Attempt(self, msg, n, host, until)
         scope.deadline = trio.current_time() + (until - attempt.started_at) / 1e9
         try:
             with scope:
@@ -78,14 +79,8 @@
             attempt.connection_broke = isinstance(cause, BROKEN_CONNECTION_ERRORS)
         except Exception as cause:  # an unexpected answer must not stop the relay
             self.log("call failed", host=host, error=repr(cause)[:300])
-        del self.cancel_scopes[(msg.name, n)]
-        if attempt.equal_answers:
-            self.record_equal_answer(attempt)
-        outcome, report = self.outcome_of(attempt, scope)
-        self.record_attempt(attempt, outcome[0])
         try:
-            took = attempt.elapsed() if attempt.answered_ns is None else attempt.answered_ns
-            self.tracker.attempt_ended(msg.name, n, host, *outcome, took, report, attempt.idle_ns)
+            self.report(attempt, scope)
             if attempt.connection and attempt.connection.call.conclusive:
                 await attempt.read_rest()
         except (*CONNECTION_ERRORS, ProtocolError):
@@ -93,6 +88,30 @@
         finally:
             attempt.close()
 
+    def report(self, attempt, scope):
+        """Reports how an attempt ended, unless that was done. An answer that has arrived counts, whatever the
+        time."""
+        if self.running.pop((attempt.msg.name, attempt.n), None) is None:
+            return
+        del self.cancel_scopes[(attempt.msg.name, attempt.n)]
+        attempt.read_arrived()
+        if attempt.equal_answers:
+            self.record_equal_answer(attempt)
+        outcome, report = self.outcome_of(attempt, scope)
+        self.record_attempt(attempt, outcome[0])
+        took = attempt.elapsed() if attempt.answered_ns is None else attempt.answered_ns
+        name, n, host = attempt.msg.name, attempt.n, attempt.host
+        self.tracker.attempt_ended(name, n, host, *outcome, took, report, attempt.idle_ns)
+
+    def report_arrived(self):
+        """Reports the attempts whose answers have arrived while the process stood still."""
+        for key, attempt in list(self.running.items()):
+            attempt.read_arrived()
+            if attempt.is_answered():
+                scope = self.cancel_scopes[key]
+                self.report(attempt, scope)
+                scope.cancel()  # its task waits for bytes that were read here
+
     def outcome_of(self, attempt, scope):
         """((ending, wait, whether no further attempt may follow), load report or None). `wait`: the delay
         that the host asked for, in nanoseconds."""
@@ -287,12 +306,34 @@
         is kept, and counts as this call's only if no other one follows (`decisions.answer_matching`)."""
         await self.receive_conclusive()
         while await self.is_likely_copy():
-            call = self.connection.call
-            self.equal_answers.append(EqualAnswer(call.status, call.headers, self.answered_ns))
-            call.discard_answer()
+            self.set_aside_answer()
             await self.receive_conclusive()
             self.answered_ns = self.elapsed()
 
+    def read_arrived(self):
+        """Reads what has arrived, without waiting, until the answer is known."""
+        with contextlib.suppress(ProtocolError, EOFError):
+            while self.sent_ns is not None and not self.is_answered():
+                if self.is_suspect() and self.connection.call.repeats_previous_answer():
+                    self.set_aside_answer()
+                elif not self.connection.receive_arrived():
+                    return
+                elif self.answered_ns is None or self.connection.call.conclusive:
+                    self.answered_ns = self.elapsed()
+
+    def is_answered(self):
+        """Whether the call's own answer is known."""
+        call = self.connection and self.connection.call
+        if self.sent_ns is None or not call.conclusive:
+            return False
+        return not self.is_suspect() or call.done and not call.repeats_previous_answer()
+
+    def set_aside_answer(self):
+        """Keeps an answer that may be a copy, and goes on to what is behind it."""
+        call = self.connection.call
+        self.equal_answers.append(EqualAnswer(call.status, call.headers, self.answered_ns))
+        call.discard_answer()
+
     def answer(self):
         """The AnswerHead or EqualAnswer that this call got, None without one. A delivery's status line is
         conclusive, whatever follows it."""
@@ -314,17 +355,21 @@
     async def is_likely_copy(self):
         """Whether the answer is a delivery that equals the answer before it on this connection, of a host
         whose deliveries have differed so far."""
-        call, tracker = self.connection.call, self.hosts.tracker
-        if call.status != DELIVERED or not call.repeats_previous_head():
-            return False
-        if not tracker.expects_different_bodies(self.host):
+        if not self.is_suspect():
             return False
         with (
             contextlib.suppress(*CONNECTION_ERRORS, ProtocolError),
             trio.move_on_after(self.hosts.limits["answer_drain_timeout"] / 1e9),
         ):
             await self.connection.receive_all()
-        return call.repeats_previous_answer()
+        return self.connection.call.repeats_previous_answer()
+
+    def is_suspect(self):
+        """The same by the answer's head."""
+        call = self.connection.call
+        if call.status != DELIVERED or not call.repeats_previous_head():
+            return False
+        return self.hosts.tracker.expects_different_bodies(self.host)
 
     async def connect(self):
         """A new connection; None where the host left the list or the pool is full. Raises TimeoutError where
--- a/courseroute/wire/socket_probe.py
+++ b/courseroute/wire/socket_probe.py
@@ -23,6 +23,18 @@
         borrowed.detach()
 
 
+def read_arrived(sock, count):
+    """Reads up to `count` bytes that have arrived, without waiting; b"" where there are none, or the
+    connection has ended."""
+    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, sock.fileno())
+    try:
+        return borrowed.recv(count, socket.MSG_DONTWAIT)
+    except OSError:
+        return b""
+    finally:
+        borrowed.detach()
+
+
 def ns_since_last_byte(sock):
     """Nanoseconds since the connection's last byte arrived, read or not; 0 where the kernel does not report
     it. The kernel counts milliseconds, also while the process is stopped."""
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -79,6 +79,98 @@
         town.close()
 
 
+STOP_AFTER_S, ANSWER_AFTER_S, STOP_S = 0.05, 0.2, 1.9
+
+
+def submit_before_stop(town, plan, left="8000m", during=lambda: time.sleep(STOP_S)):
+    """Submits a message `a`, stops the relay before its host answers as `plan` says, and lets it go on
+    behind `during`."""
+
+    def answer(call):
+        time.sleep(ANSWER_AFTER_S)
+        return plan(call)
+
+    town.plan = answer
+    town.start()
+    assert town.submit("a", left=left) == 202
+    assert wait_until(lambda: town.calls_for("a"))
+    time.sleep(STOP_AFTER_S)
+    town.relay.send_signal(signal.SIGSTOP)
+    during()
+    town.relay.send_signal(signal.SIGCONT)
+
+
+@pytest.fixture
+def one_host(tmp_path):
+    town = RelayUnderTest(tmp_path, hosts=("h1",))
+    yield town
+    town.close()
+
+
+# Guards against an answer that came while the relay stood still being given up unread: its message was sent
+# again (review/9), or told to have failed where its time was over too.
+@pytest.mark.parametrize("left, lane", [("8000m", "notice"), ("8000m", "order"), ("1500m", "notice")])
+def test_an_answer_that_came_while_the_relay_stood_still_is_heeded(one_host, left, lane):
+    submit_before_stop(one_host, lambda call: (200, {}), left)
+    time.sleep(STOP_S)
+    assert len(one_host.calls_for("a")) == 1 and not one_host.notices
+
+
+# The same for a wait that a host asked for.
+def test_a_wait_that_was_told_while_the_relay_stood_still_is_heeded(one_host):
+    told = []
+
+    def refuse(call):
+        told.append(time.time())
+        return (429, {"Wait-Ms": "3500"}) if len(told) == 1 else (200, {})
+
+    submit_before_stop(one_host, refuse)
+    assert wait_until(lambda: len(one_host.calls_for("a")) == 2)
+    assert one_host.calls_for("a")[1]["at"] >= told[0] + 3.5
+
+
+# Guards against messages that came in a stall going to a host that drains, by news that came in it too.
+def test_news_of_discovery_that_came_while_the_relay_stood_still_is_heeded_first(tmp_path):
+    town = RelayUnderTest(tmp_path)
+    clients = [threading.Thread(target=town.submit, args=(f"m{i}",)) for i in range(8)]
+
+    def drain_and_submit():
+        town.change("h1", "leaving")
+        time.sleep(STOP_S)  # beyond the time in which a draining host may get messages
+        for client in clients:
+            client.start()
+        time.sleep(ANSWER_AFTER_S)
+
+    try:
+        submit_before_stop(town, lambda call: (200, {}), during=drain_and_submit)
+        for client in clients:
+            client.join()
+        assert wait_until(lambda: all(town.calls_for(f"m{i}") for i in range(8)))
+        assert {call["host"] for call in town.calls if call["id"] != "a"} == {"h2"}
+    finally:
+        town.close()
+
+
+@pytest.mark.parametrize(
+    "looks, heeds",
+    [
+        ([0, 10, 20], [(20, False)]),
+        ([0, 400], [(400, True), (400, False)]),
+        ([0, 400, 410], [(411, True), (420, False)]),
+        ([0], [(400, True), (410, False), (800, True)]),  # in one task that goes on
+    ],
+)
+def test_a_stall_is_heeded_once(looks, heeds):
+    now = [0]
+    detector = Standstills(lambda: now[0])
+    for at_ms in looks:
+        now[0] = at_ms * MS
+        detector.look(0.0)
+    for at_ms, has_stalled in heeds:
+        now[0] = at_ms * MS
+        assert detector.heed() == has_stalled
+
+
 def stop_for(process, seconds):
     process.send_signal(signal.SIGSTOP)
     time.sleep(seconds)
