--- a/courseroute/decisions/final_answer.py
+++ b/courseroute/decisions/final_answer.py
@@ -6,7 +6,10 @@
 that could wait for the deadline therefore comes ahead of it by a reserve. A message that arrives with less
 time than the minimum reserve can't be answered in time and is not accepted.
 
-A process that was stopped for long is likely to be again: the reserve then covers the longest recent stall.
+A process that was stopped for long is likely to be again: the reserve then covers the longest recent stall,
+up to a part of the message's time. One that was stopped several times is expected to be again: then the
+reserve covers the second longest of these stalls in full, if that is longer than the usual reserve, and a
+message with less time is not accepted.
 
 Times are whole nanoseconds of the caller's clock.
 """
@@ -18,6 +21,7 @@
 RESERVE = 500 * MS
 STALL_MARGIN = 300 * MS  # by which the reserve is longer than the longest recent stall
 STALLS_KEPT_FOR = 30_000 * MS
+MAX_STALLS = 64
 MAX_RESERVE_DIVISOR = 4  # the reserve is at most this fraction of a message's time, but not below the minimum
 MIN_RESERVE = 350 * MS
 MIN_RESERVE_LANE_DIVISOR = 8  # the minimum is at most this fraction of the time that its class allows
@@ -30,28 +34,42 @@
     length: int
 
 
+class ExpectedStalls(NamedTuple):
+    """Lengths in nanoseconds of the longest stall lately, and of one that came more than once; 0 for none."""
+
+    longest: int = 0
+    repeated: int = 0
+
+    def exceeds(self, other):
+        """Whether either is longer than that of `other`."""
+        return self.longest > other.longest or self.repeated > other.repeated
+
+
+NO_STALLS = ExpectedStalls()
+
+
 class RecentStalls:
-    """The stalls of the last STALLS_KEPT_FOR, as far as they matter for the longest."""
+    """The stalls of the last STALLS_KEPT_FOR, at most MAX_STALLS."""
 
     def __init__(self):
-        self.stalls = deque()  # each longer than those behind it
+        self.stalls = deque(maxlen=MAX_STALLS)
 
     def add(self, now, length):
-        while self.stalls and self.stalls[-1].length <= length:
-            self.stalls.pop()
         self.stalls.append(Stall(now, length))
 
-    def longest(self, now):
-        """The length of the longest one, 0 if there is none."""
+    def to_expect(self, now):
+        """The ExpectedStalls."""
         while self.stalls and now - self.stalls[0].found_at > STALLS_KEPT_FOR:
             self.stalls.popleft()
-        return self.stalls[0].length if self.stalls else 0
+        longest, second = sorted((0, 0, *(stall.length for stall in self.stalls)))[:-3:-1]
+        return ExpectedStalls(longest, second if second > RESERVE else 0)
 
 
-def final_answer_due(accepted_at, deadline, lane_time=None, longest_stall=0):
+def final_answer_due(accepted_at, deadline, lane_time=None, stalls=NO_STALLS):
     """The latest time to start the final answer to a message that was accepted at `accepted_at`.
     `lane_time`: the time that the settings allow a message of its class from submission to its deadline, None
-    if they don't limit it. `longest_stall`: see RecentStalls."""
+    if they don't limit it. `stalls`: the ExpectedStalls."""
     least = MIN_RESERVE if lane_time is None else min(MIN_RESERVE, lane_time // MIN_RESERVE_LANE_DIVISOR)
     part = max(0, deadline - accepted_at) // MAX_RESERVE_DIVISOR
-    return deadline - min(max(RESERVE, longest_stall + STALL_MARGIN), max(least, part))
+    reserve = min(max(RESERVE, stalls.longest + STALL_MARGIN), max(least, part))
+    return deadline - max(reserve, stalls.repeated + STALL_MARGIN if stalls.repeated else 0)
--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -9,7 +9,7 @@
 import traceback
 from collections import OrderedDict, deque
 
-from courseroute.decisions.final_answer import RecentStalls, final_answer_due
+from courseroute.decisions.final_answer import NO_STALLS, RecentStalls, final_answer_due
 from courseroute.journal import frames as records
 from courseroute.journal.frames import record
 from courseroute.journal.replay import Replay
@@ -48,7 +48,7 @@
         self.is_draining = False  # an operator empties the relay: it isn't to get new clients
         self.heed_changes = lambda: None  # looks whether operators have taken a host out
         self.is_released = False  # another process has the folder: new messages are rejected
-        self.recent_stalls, self.longest_stall = RecentStalls(), 0
+        self.recent_stalls, self.expected_stalls = RecentStalls(), NO_STALLS
         self.longest_unread_ns = lambda: 0  # upper bound of the time a request waited before it was read
         self.syncer = None
         self.learned = None  # the file that keeps what the dispatcher has learned of the hosts
@@ -146,16 +146,16 @@
     def final_answer_due(self, msg):
         """When the message's final answer must be started."""
         lane_time = self.terms["lanes"].get(msg.lane, {}).get("deadline")
-        return final_answer_due(msg.accepted_at, msg.deadline, lane_time, self.longest_stall)
+        return final_answer_due(msg.accepted_at, msg.deadline, lane_time, self.expected_stalls)
 
     def update_stalls(self, latest):
         """Heeds the longest stall of the process since the last call, in nanoseconds, 0 for none: behind one
         that is longer than others lately the final answers to all messages are due earlier."""
-        now, before = self.clock(), self.longest_stall
+        now, before = self.clock(), self.expected_stalls
         if latest:
             self.recent_stalls.add(now, latest)
-        self.longest_stall = self.recent_stalls.longest(now)
-        if self.longest_stall > before:
+        self.expected_stalls = self.recent_stalls.to_expect(now)
+        if self.expected_stalls.exceeds(before):
             self.advance_final_answers()
 
     def advance_final_answers(self):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -6,7 +6,7 @@
 
 from courseroute.decide import EVIDENCE_THRESHOLD, EXIT_AFTER
 from courseroute.decisions.descriptors import RESERVED, divide_descriptors
-from courseroute.decisions.final_answer import STALLS_KEPT_FOR, RecentStalls, final_answer_due
+from courseroute.decisions.final_answer import NO_STALLS, STALLS_KEPT_FOR, RecentStalls, final_answer_due
 from courseroute.decisions.send_budget import HEADROOM_CUT
 from courseroute.model.causes import HoldCause
 from courseroute.model.types import Attempt
@@ -804,16 +804,20 @@
         ([900], 8 * S, 1200 * MS),
         ([900, 400, 600], 8 * S, 1200 * MS),
         ([2000], 8 * S, 2000 * MS),  # a quarter of its time
+        ([2000, 2000], 8 * S, 2300 * MS),  # in full where it comes again (review/10)
+        ([2000, 1700, 1900], 2 * S, 2200 * MS),
+        ([400, 400], 800 * MS, 350 * MS),  # but not a short one
     ],
 )
 def test_the_reserve_covers_the_longest_recent_stall(stalls_ms, left, reserve):
     stalls = RecentStalls()
     for number, length in enumerate(stalls_ms):
         stalls.add(number * S, length * MS)
-    longest = stalls.longest(3 * S)
-    assert final_answer_due(7 * S, 7 * S + left, 16 * S, longest) == 7 * S + left - reserve
-    later = stalls.longest(STALLS_KEPT_FOR + 1)
-    assert later == max(stalls_ms[1:], default=0) * MS
+    expected = stalls.to_expect(3 * S)
+    assert final_answer_due(7 * S, 7 * S + left, 16 * S, expected) == 7 * S + left - reserve
+    later = stalls.to_expect(STALLS_KEPT_FOR + 1)
+    assert later.longest == max(stalls_ms[1:], default=0) * MS
+    assert not stalls.to_expect(STALLS_KEPT_FOR + 9 * S).exceeds(NO_STALLS)
 
 
 def test_a_message_with_an_earlier_deadline_is_closed_by_then():
