--- a/courseroute/emulator/judge.py
+++ b/courseroute/emulator/judge.py
@@ -332,9 +332,9 @@
             return
         if over == msg.delivered_at and (
             call.first_byte_at <= over + ANSWER_READ_WITHIN
-            or self.was_unavailable(msg.relay, over - ANSWER_READ_WITHIN, call.first_byte_at)
+            or self.was_restarted(msg.relay, over - ANSWER_READ_WITHIN, call.first_byte_at)
         ):
-            return  # the relay was restarted or paused before it read the answer of the delivery
+            return  # the relay had no time to read the answer of the delivery; a pause leaves it to be read
         self.report_violation(
             "one final answer",
             call.received_at,
@@ -518,10 +518,18 @@
 
     def was_unavailable(self, relay, since, until):
         """Whether the relay was restarting or paused at any time between `since` and `until`."""
-        return any(
-            downtime.begin <= until and (downtime.end is None or downtime.end >= since)
+        return bool(self.downtimes_between(relay, since, until))
+
+    def was_restarted(self, relay, since, until):
+        """Whether the relay was restarting at any time between `since` and `until`."""
+        return any(downtime.is_restart for downtime in self.downtimes_between(relay, since, until))
+
+    def downtimes_between(self, relay, since, until):
+        return [
+            downtime
             for downtime in self.downtimes.get(relay, ())
-        )
+            if downtime.begin <= until and (downtime.end is None or downtime.end >= since)
+        ]
 
     # Deferred checks.
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -164,6 +164,10 @@
         (lambda: accepted().call(5).reply(50).call(200), [FINAL_ANSWER]),
         (lambda: accepted().call(5).reply(50).call(140), []),
         (lambda: accepted().call(5).reply(50).relay(60, "kill").relay(700, "ready").call(720).reply(750), []),
+        (
+            lambda: accepted().relay(20, "paused").call(25).reply(50).relay(900, "goes-on").call(910),
+            [FINAL_ANSWER],
+        ),
         (lambda: Ledger().notice(5, id="9-9"), [FINAL_ANSWER]),
         (lambda: accepted().relay(5, "kill").relay(5, "crashed", text="exit code 1"), [FINAL_ANSWER]),
         # No effect runs twice.
