--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,8 +43,8 @@
     assert found["all"]["delivered"] > 0.4 * found["all"]["messages"]
 
 
-# Guards against answers that are not read, and final answers that come late, where relays stand still again and
-# again (review/9, review/10).
+# Guards against answers that are not read, and final answers that come late, where relays stand still again
+# and again (review/9, review/10).
 def test_every_rule_is_kept_while_relays_stand_still(tmp_path):
     day = load(ROOT / "examples" / "stalls.toml", seed=1, lasts="12s")
     found = figures(trio.run(run_day, day, tmp_path / "day"))
