decide.py: the calls to discovery are a module of their own

The calls to discovery (when one is planned, repeated, given up) stood among the dispatcher's methods with two attributes of their own.

--- a/courseroute/decide.py
+++ b/courseroute/decide.py
@@ -19,6 +19,7 @@
 from courseroute.decisions.endpoint_list import MAX_PROCESS_DELAY, EndpointListSchedule
 from courseroute.decisions.host_bans import BannedHosts
 from courseroute.decisions.key_order import KeyOrder
+from courseroute.decisions.list_calls import ListCalls
 from courseroute.decisions.quotas import TenantQuotas
 from courseroute.decisions.reported_limit import believe_report, is_believable
 from courseroute.decisions.send_budget import FORGET_AFTER, MAX_HEADROOM
@@ -99,7 +100,8 @@
         # Lost calls by the connection's idle time, 0 if new.
         self.idle_losses = FailureRates(DURATION_EDGES[::3], 4 * HISTOGRAM_CAP)
         self.list_schedule, self.sending_paused = EndpointListSchedule(terms, self.uniform), False
-        self.active_calls, self.watched_since, self.list_call_number, self.sends_end_at = 0, None, 0, 1 << 63
+        self.list_calls = ListCalls(self.list_schedule, self.schedule, lambda act: self.actions.append(act))
+        self.active_calls, self.sends_end_at = 0, 1 << 63
         self.handing_over = False  # a successor takes the messages over: nothing is sent
         self.unlisted = Destination(None)  # destination of all messages whose own is not listed
         self.slots = terms.get("slots") or 1
@@ -113,7 +115,7 @@
     def start(self, now):
         """Starts the timers; requests the endpoint list if it has to be asked for."""
         if self.terms.get("ask"):
-            self.plan_list_call(now, self.call_for_list)
+            self.list_calls.start(now)
         self.schedule(now + RANKING_INTERVAL, self.renew_ranking)
         return self.take_actions()
 
@@ -123,33 +125,24 @@
         `as_of`: when discovery's list is known to have had this content, None for now; for a malformed
         answer, when the answer was written."""
         if scope in ("failed", "ended", "spoilt"):
-            self.watched_since = None
-            self.list_call_failed(now, scope, as_of)
-            self.plan_list_call(now + self.list_schedule.retry_delay(), self.call_for_list)
+            self.list_calls.failed(now, scope, as_of)
             return self.take_actions()
         if scope == "saved":
             return self.restore_endpoints(now, entries)
-        self.watched_since = now
-        self.list_schedule.call_answered(now, now if as_of is None else as_of)
-        if self.list_schedule.is_polled:
-            self.plan_list_call(now, self.call_for_list)
+        self.list_calls.answered(now, now if as_of is None else as_of)
         self.apply_entries(now, entries, is_whole=scope == "full")
         return self.take_actions()
 
     def restore_endpoints(self, now, entries, knowledge=None):
         """Handles the list with which a process begins: that of its predecessor, with its ListKnowledge, or
         one of unknown age."""
-        self.list_schedule.list_restored(now, knowledge)
-        if self.list_schedule.restored_from is not None:
-            self.schedule(self.list_schedule.restored_from, int)
+        self.list_calls.restored(now, knowledge)
         self.apply_entries(now, entries, is_whole=True)
         return self.take_actions()
 
     def continue_list_failures(self, now, knowledge):
         """Handles the ListKnowledge of a predecessor that has called discovery up to this moment."""
-        self.list_schedule.continue_failures(knowledge)
-        if self.list_schedule.failing_since is not None:
-            self.schedule(self.list_schedule.down_from(), int)
+        self.list_calls.continue_failures(knowledge)
         return self.take_actions()
 
     def apply_entries(self, now, entries, is_whole):
@@ -220,9 +213,7 @@
 
     def discovery_moved(self, now):
         """Discovery has a new address: requests the list there."""
-        self.watched_since = None
-        self.list_schedule.address_changed(now)
-        self.plan_list_call(now, self.call_for_list)
+        self.list_calls.moved(now)
         return self.take_actions()
 
     def remove_host(self, now, host):
@@ -512,40 +503,6 @@
         self.request_timer(now)
         return self.take_actions()
 
-    def plan_list_call(self, when, call):
-        """Plans a request to discovery. Only the latest plan is carried out, so that a failing discovery
-        is not flooded."""
-        self.list_call_number += 1
-        self.schedule(when, call, self.list_call_number)
-
-    def call_for_list(self, now, number):
-        """Requests the list, and plans the next request in case no answer comes in time."""
-        if number == self.list_call_number:
-            self.actions.append(("watch", self.list_schedule.call_wait()))
-            self.plan_list_call(now + self.list_schedule.call_timeout(), self.repeat_list_call)
-
-    def repeat_list_call(self, now, number):
-        """Repeats a request that was not answered in time; a standing watch is left alone."""
-        if number != self.list_call_number or (
-            self.watched_since is not None and not self.list_schedule.is_polled
-        ):
-            return
-        if self.list_schedule.is_polled:
-            self.list_call_failed(now, "late")
-        self.call_for_list(now, number)
-
-    def list_call_failed(self, now, reason, written_at=None):
-        is_first = self.list_schedule.failing_since is None
-        if reason == "ended":
-            self.list_schedule.watch_ended(now)
-        elif reason == "spoilt":
-            self.list_schedule.answer_malformed(now, written_at)
-        else:
-            self.list_schedule.call_failed(now, is_late=reason == "late")
-        # At that time discovery counts as down, and held messages may be sent.
-        if is_first:
-            self.schedule(self.list_schedule.down_from(), int)
-
     def latest_start(self, message):
         """The time from which an attempt would probably miss the deadline."""
         return (
--- a/tests/test_initial_endpoints.py
+++ b/tests/test_initial_endpoints.py
@@ -116,7 +116,9 @@
     """A relay that begins with a list and what is known of it, at the time of `DispatcherHarness` or `at`."""
     relay = DispatcherHarness(hosts=(), ask=True, ask_within=10 * S, **TERMS)
     relay.now = relay.now if at is None else at
-    relay.dispatcher.list_schedule = EndpointListSchedule(relay.dispatcher.terms, relay.dispatcher.uniform)
+    dispatcher = relay.dispatcher
+    dispatcher.list_schedule = EndpointListSchedule(dispatcher.terms, dispatcher.uniform)
+    dispatcher.list_calls.schedule = dispatcher.list_schedule
     relay.apply("restore_endpoints", ENTRIES, knowledge)
     if follows:
         relay.apply("continue_list_failures", knowledge)
