News of discovery that came while the process stood still is read before anything is sent

Change: behind a stall the answer of discovery is read, like those of hosts, before the dispatcher's next event (Discovery.report_arrived), and before the last look at a send whose connection has come up (MessageTracker.hold_cause).

--- a/courseroute/state/tracker.py
+++ b/courseroute/state/tracker.py
@@ -262,6 +262,7 @@
 
     def hold_cause(self, name, n):
         self.heed_changes()
+        self.heed_arrived()
         return self.dispatcher.hold_cause(self.clock(), name, n)
 
     def send_by(self, name, n):
@@ -314,9 +315,18 @@
         if self.collected_events is not None:
             self.collected_events.append((method, args))
             return
+        self.heed_arrived()
+        self.queued_events.append([(method, args)])
+        self.run_queued()
+
+    def heed_arrived(self):
+        """Heeds what arrived while the process stood still, if it did."""
         if self.heed_stall():
             self.queued_events.append(self.collect_arrived())
-        self.queued_events.append([(method, args)])
+            self.run_queued()
+
+    def run_queued(self):
+        """Passes the queued batches to the dispatcher, unless a caller further up does so."""
         if self.dispatching:
             return
         self.dispatching = True
@@ -329,12 +339,13 @@
             self.dispatching = False
 
     def collect_arrived(self):
-        """The events of answers that arrived while the process stood still, as one batch: until the last of
-        them is known no time is judged."""
+        """The events of news and answers that arrived while the process stood still, as one batch: until the
+        last of them is known no time is judged."""
         self.collected_events = []
         try:
-            if self.hosts is not None:
-                self.run_guarded(self.hosts.report_arrived)
+            for driver in (self.discovery, self.hosts):
+                if driver is not None:
+                    self.run_guarded(driver.report_arrived)
             return self.collected_events
         finally:
             self.collected_events = None
--- a/courseroute/wire/connection.py
+++ b/courseroute/wire/connection.py
@@ -109,13 +109,14 @@
             None,
         )
         self.first_byte_at = None  # of the last call's answer, None before it
+        self.is_sent = False  # the last call's request is written
         self.answered_at = None  # end of the last answer
         self.was_first = True  # whether that answer was the first one on its connection
 
     async def exchange(self, within, method, target, headers, body=b""):
         """Makes a call: (status, body) of the answer. `within`: nanoseconds. Raises one of CONNECTION_ERRORS
         or ProtocolError where no answer came in time."""
-        self.first_byte_at = None
+        self.first_byte_at, self.is_sent = None, False
         await self.wait_quiet_period()
         reused = self.open_connection is not None
         try:
@@ -124,6 +125,7 @@
                     self.connected_address = self.address
                     self.open_connection = await Connection(*self.limits).connect(self.address)
                 await self.open_connection.send(method, target, headers, body)
+                self.is_sent = True
                 await self.receive_answer()
                 answer = self.open_connection.call.status, self.open_connection.call.body()
                 self.answered_at, self.was_first = trio.current_time(), not reused
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -79,12 +79,12 @@
         town.close()
 
 
-STOP_AFTER_S, ANSWER_AFTER_S, STOP_S = 0.05, 0.2, 1.9
+ANSWER_AFTER_S, STOP_S = 0.2, 1.9
 
 
-def submit_before_stop(town, plan, left="8000m", during=lambda: time.sleep(STOP_S)):
+def submit_before_stop(town, plan, left="8000m", before=lambda: None, during=lambda: time.sleep(STOP_S)):
     """Submits a message `a`, stops the relay before its host answers as `plan` says, and lets it go on
-    behind `during`."""
+    behind `during`. `before` is called before the stop."""
 
     def answer(call):
         time.sleep(ANSWER_AFTER_S)
@@ -94,7 +94,7 @@
     town.start()
     assert town.submit("a", left=left) == 202
     assert wait_until(lambda: town.calls_for("a"))
-    time.sleep(STOP_AFTER_S)
+    before()
     town.relay.send_signal(signal.SIGSTOP)
     during()
     town.relay.send_signal(signal.SIGCONT)
@@ -134,6 +134,10 @@
     town = RelayUnderTest(tmp_path)
     clients = [threading.Thread(target=town.submit, args=(f"m{i}",)) for i in range(8)]
 
+    def wait_for_watch():  # news is told to a watch that is open
+        begun = len(town.watches)
+        assert wait_until(lambda: len(town.watches) > begun)
+
     def drain_and_submit():
         town.change("h1", "leaving")
         time.sleep(STOP_S)  # beyond the time in which a draining host may get messages
@@ -142,7 +146,7 @@
         time.sleep(ANSWER_AFTER_S)
 
     try:
-        submit_before_stop(town, lambda call: (200, {}), during=drain_and_submit)
+        submit_before_stop(town, lambda call: (200, {}), before=wait_for_watch, during=drain_and_submit)
         for client in clients:
             client.join()
         assert wait_until(lambda: all(town.calls_for(f"m{i}") for i in range(8)))
