--- a/courseroute/state/endpoint_cache.py
+++ b/courseroute/state/endpoint_cache.py
@@ -130,7 +130,7 @@
         """Saves the list if it changed and returns whether it wrote. A write that fails leaves no partial
         file and is not reported: the relay works without the saved list, and writes it at the next call."""
         origin, knowledge = self.describe()
-        if not (self.is_unsaved or origin != self.saved_origin) or not self.endpoints:
+        if not self.is_unsaved and origin == self.saved_origin:
             return False
         data = self.serialize(ListState(*origin, knowledge))
         if len(data) > self.max_bytes:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -331,6 +331,8 @@
     many = [(name, "ready", "z", None, "k", "7") for name in names]
     again.update("changes", many, dict.fromkeys(names, ("127.0.0.1", 1)))
     assert not again.save()  # a list that is too long is not saved
+    again.update("full", [], {})
+    assert again.save() and parse_endpoint_list(again.load(), False)[2] == []  # all hosts have left
     for torn in (b"", b"{", b"[]", b"\xff"):
         (tmp_path / "list").write_bytes(torn)
         assert again.load() is None
