An answer that came in a stall and can't be read ends its call at once

What arrived in a stall is read ahead of the task that waits for it; where that was malformed, or discovery answered 503, the bytes were gone, and the task waited for more until its time was over.

Change: a malformed answer ends its attempt, or its call to discovery, there and then, as the task would have (Attempt.is_malformed, Discovery.report_arrived).

--- a/courseroute/wire/attempt.py
+++ b/courseroute/wire/attempt.py
@@ -42,6 +42,7 @@
         self.connection_broke = False
         self.idle_ns = None  # how long its connection had been idle, None for a new one
         self.previous_exchange = None  # the last Exchange on a reused connection
+        self.is_malformed = False  # an answer that came in a stall can't be read
         self.equal_answers = []  # EqualAnswers; the last one counts as this call's if no other one follows
 
     def elapsed(self):
@@ -103,8 +104,8 @@
             self.answered_ns = self.elapsed()
 
     def read_arrived(self):
-        """Reads what has arrived, without waiting, until the answer is known."""
-        with contextlib.suppress(ProtocolError, EOFError):
+        """Reads what has arrived, without waiting, until the answer is known, or is malformed."""
+        try:
             while self.sent_ns is not None and not self.is_answered():
                 if self.is_suspect() and self.connection.call.repeats_previous_answer():
                     self.set_aside_answer()
@@ -112,6 +113,8 @@
                     return
                 elif self.answered_ns is None or self.connection.call.conclusive:
                     self.answered_ns = self.elapsed()
+        except (ProtocolError, EOFError):
+            self.is_malformed = True
 
     def is_answered(self):
         """Whether the call's own answer is known."""
--- a/courseroute/wire/connection.py
+++ b/courseroute/wire/connection.py
@@ -140,6 +140,15 @@
         self.close()
         raise ProtocolError(408, "no answer in time")
 
+    def receive_arrived(self):
+        """Reads what has arrived of the answer, without waiting: (status, body) if that is all of it, else
+        None. Raises ProtocolError where the answer is malformed."""
+        connection = self.open_connection
+        while not connection.call.done and connection.receive_arrived():
+            if self.first_byte_at is None and connection.call.begun:
+                self.first_byte_at = trio.current_time()
+        return (connection.call.status, connection.call.body()) if connection.call.done else None
+
     async def wait_quiet_period(self):
         """Waits for the end of the quiet period after the last answer. Closes the connection if bytes arrived
         since, the peer closed it, or the address changed."""
--- a/courseroute/wire/discovery.py
+++ b/courseroute/wire/discovery.py
@@ -161,22 +161,19 @@
             self.handle_answer(call, answer)
 
     def report_arrived(self):
-        """Handles an answer that has arrived while the process stood still, before anything is sent. Its
-        call's task is ended, and its connection with it."""
+        """Handles an answer that has arrived while the process stood still, or its failure, before anything
+        is sent. Its call's task is ended, and its connection with it."""
         call = self.call
         if call is None or not call.connection.is_sent or call.connection.open_connection is None:
             return
-        connection = call.connection.open_connection
         try:
-            while not connection.call.done and connection.receive_arrived():
-                pass
-            if not connection.call.done:
+            received = call.connection.receive_arrived()
+            if received is None:
                 return
-            answer = self.watch.parse_answer(connection.call.status, connection.call.body())
-        except (EOFError, ProtocolError, ValueError):
-            return  # its task finds the same
-        self.handle_answer(call, answer)
-        self.idle_connection = None
+            self.handle_answer(call, self.watch.parse_answer(*received))
+            self.idle_connection = None
+        except (ProtocolError, ValueError) as cause:
+            self.handle_failure(call, cause)
         call.scope.cancel()
 
     def handle_answer(self, call, answer):
--- a/courseroute/wire/hosts.py
+++ b/courseroute/wire/hosts.py
@@ -99,7 +99,7 @@
         """Reports the attempts whose answers have arrived while the process stood still."""
         for key, attempt in list(self.running.items()):
             attempt.read_arrived()
-            if attempt.is_answered():
+            if attempt.is_answered() or attempt.is_malformed:
                 scope = self.cancel_scopes[key]
                 self.report(attempt, scope)
                 scope.cancel()  # its task waits for bytes that were read here
